--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -1,7 +1,7 @@
 //! Hosts marlport routers on the wire of the bench: frames on standard input and output.
-mod settings;
 mod wire;
 
+use cranesill_settings as settings;
 use marlport::api::{Event, Outcome};
 use marlport::Router;
 use std::collections::BTreeMap;
@@ -11,7 +11,7 @@
 fn main() {
     std::panic::set_hook(Box::new(|_| {}));
     if let Err(error) = run(&mut io::stdin().lock(), &mut io::stdout().lock()) {
-        eprintln!("marlport-benchlink: {error}");
+        eprintln!("cranesill-adapter: {error}");
         std::process::exit(1);
     }
 }
@@ -27,7 +27,7 @@
             let (who, record) = events.record()?;
             let (event, values) = match record {
                 wire::Record::PowerOn { seed, profile } => {
-                    let (settings, layout) = settings::parse(profile)?;
+                    let settings::Deployment { settings, layout, .. } = settings::parse(profile)?;
                     routers.insert(who, (Router::new(settings, seed), layout));
                     continue;
                 }
--- a/benchlink/src/tests.rs
+++ b/benchlink/src/tests.rs
@@ -104,7 +104,7 @@
 fn reports_are_read_by_the_names_that_the_settings_give() {
     let read = |fields: &str, values: &[f32]| {
         let text = format!("{{\"report\": {{\"fields\": {fields}}}}}");
-        settings::parse(text.as_bytes()).unwrap().1.read(values)
+        settings::parse(text.as_bytes()).unwrap().layout.read(values)
     };
     let full = read("[\"concurrent\", \"x0\", \"x1\"]", &[7.0, 0.5, 1.25]).unwrap();
     assert_eq!((full.inflight, full.link), (Some(7.0), Some(1.25)));
--- /dev/null
+++ b/front/src/program/members.rs
@@ -0,0 +1,260 @@
+//! Connections to members.
+use crate::protocol::member;
+use crate::routing::{AttemptId, End, Fetch, Txn};
+use crate::transport::{dial, Reactor, Stream};
+use marlport::api::{Entry, Listed, MemberId, Span, Time};
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+
+/// Attempts on one connection from which on another is opened: a large answer blocks what is behind it.
+const STREAMS_CALM: usize = 1;
+/// Share of the members' idle time after which a connection is closed here: a request must not cross their
+/// close.
+const IDLE_SHARE: f64 = 0.5;
+/// For how long a connection remembers an id that was given up there; no attempt is out for longer.
+const STALE: Span = 30_000_000;
+
+/// Attempts that ended.
+pub type Ends = Vec<(AttemptId, End)>;
+
+/// An attempt on a connection.
+#[derive(Debug)]
+struct Sent {
+    attempt: AttemptId,
+    /// All of it.
+    written: bool,
+}
+
+#[derive(Debug)]
+struct Link {
+    stream: Stream<Option<Txn>>,
+    member: MemberId,
+    up: bool,
+    /// Nothing new goes here.
+    retired: bool,
+    open: HashMap<Txn, Sent>,
+    /// Ids that were given up here: a late answer to one must not be taken for that of its next attempt.
+    stale: Vec<(Txn, Time)>,
+    idle_since: Time,
+}
+
+impl Link {
+    fn takes(&self, txn: &Txn, streams: usize) -> bool {
+        let known = self.open.contains_key(txn) || self.stale.iter().any(|s| s.0 == *txn);
+        !self.retired && !known && self.open.len() < streams
+    }
+}
+
+/// All connections to members; they belong to a member's id, since an address may come to be another's.
+#[derive(Debug)]
+pub struct Members {
+    links: HashMap<usize, Link>,
+    /// Connections of each member.
+    of: HashMap<MemberId, Vec<usize>>,
+    /// Where each listens, and when it started.
+    listed: HashMap<MemberId, (SocketAddr, Time)>,
+    at: HashMap<AttemptId, (usize, Txn)>,
+    links_most: usize,
+    streams: usize,
+    idle: Span,
+}
+
+impl Members {
+    /// Holds up to `links_most` connections, each with up to `streams` attempts.
+    pub fn new(links_most: usize, streams: usize, idle: Span) -> Self {
+        Members {
+            links: HashMap::new(),
+            of: HashMap::new(),
+            listed: HashMap::new(),
+            at: HashMap::new(),
+            links_most,
+            streams,
+            idle: (idle as f64 * IDLE_SHARE) as Span,
+        }
+    }
+
+    /// Whether this is a connection to a member.
+    pub fn has(&self, key: usize) -> bool {
+        self.links.contains_key(&key)
+    }
+
+    /// Takes over where a member listens. Connections to an earlier process of it get nothing new.
+    pub fn list(&mut self, entry: &Entry, address: SocketAddr) {
+        let now = Some((address, entry.started));
+        let before = if entry.state == Listed::Gone {
+            self.listed.remove(&entry.member)
+        } else {
+            self.listed.insert(entry.member, (address, entry.started))
+        };
+        if entry.state == Listed::Gone || before.is_some() && before != now {
+            for key in self.of.get(&entry.member).into_iter().flatten() {
+                self.links.get_mut(key).into_iter().for_each(|link| link.retired = true);
+            }
+        }
+    }
+
+    /// The whole list is about to come: what it lacks is gone.
+    pub fn keep_only(&mut self, listed: &[MemberId]) {
+        self.listed.retain(|member, _| listed.contains(member));
+        self.links.values_mut().filter(|l| !listed.contains(&l.member)).for_each(|l| l.retired = true);
+    }
+
+    /// Puts an attempt on a connection; `key` is for a new one. Returns the key if a connection was begun.
+    pub fn send(
+        &mut self,
+        now: Time,
+        reactor: &Reactor,
+        key: usize,
+        (attempt, to): (AttemptId, MemberId),
+        fetch: &Fetch,
+        ends: &mut Ends,
+    ) -> Option<usize> {
+        let keys = self.of.entry(to).or_default();
+        let most = (self.links_most / self.listed.len().max(1)).max(2);
+        let fit = keys.iter().filter_map(|key| self.links.get(key).map(|link| (key, link)));
+        let fit = fit.filter(|(_, link)| link.takes(&fetch.txn, self.streams));
+        let best = fit.min_by_key(|(key, link)| (link.open.len(), !link.up, **key)).map(|(key, l)| (*key, l));
+        let calm = best.as_ref().is_some_and(|(_, link)| link.open.len() < STREAMS_CALM);
+        let mut chosen = best.map(|(key, _)| key);
+        let mut begun = None;
+        if !calm && keys.len() < most && self.links.len() < self.links_most {
+            let address = self.listed.get(&to).map(|l| l.0);
+            let stream = address.and_then(|a| Stream::new(reactor, dial(a).ok()?, key, true).ok());
+            if let Some(stream) = stream {
+                let (open, stale) = (HashMap::new(), Vec::new());
+                let link =
+                    Link { stream, member: to, up: false, retired: false, open, stale, idle_since: now };
+                self.links.insert(key, link);
+                keys.push(key);
+                (chosen, begun) = (Some(key), Some(key));
+            }
+        }
+        let link = chosen.and_then(|key| self.links.get_mut(&key).map(|link| (key, link)));
+        let Some((key, link)) = link else {
+            ends.push((attempt, End::Unsent));
+            return None;
+        };
+        link.open.insert(fetch.txn, Sent { attempt, written: false });
+        link.stream.push(member::fetch(fetch, now));
+        self.at.insert(attempt, (key, fetch.txn));
+        self.flush(now, key, ends);
+        begun
+    }
+
+    /// Gives an attempt up at its member.
+    pub fn abort(&mut self, now: Time, attempt: AttemptId, ends: &mut Ends) {
+        let Some((key, txn)) = self.at.remove(&attempt) else { return };
+        let Some(link) = self.links.get_mut(&key) else { return };
+        link.open.remove(&txn);
+        link.idle_since = now;
+        if link.stream.take_back(|tag| *tag == Some(txn)) {
+            return;
+        }
+        link.stale.retain(|s| now < s.1);
+        link.stale.push((txn, now + STALE));
+        link.stream.push(member::abort(txn));
+        self.flush(now, key, ends);
+        // Guards the rule that no two attempts of a request are out: a command that can't be written yet
+        // gives nothing up, the end of the connection does.
+        if self.links.get(&key).is_some_and(|link| !link.stream.flushed()) {
+            self.fail(key, ends);
+        }
+    }
+
+    /// An attempt that is not begun to be written yet will not be: what was decided a while ago may be
+    /// against what is known since.
+    pub fn withdraw(&mut self, attempt: AttemptId, ends: &mut Ends) {
+        let Some((key, txn)) = self.at.get(&attempt).copied() else { return };
+        let Some(link) = self.links.get_mut(&key) else { return };
+        if link.stream.take_back(|tag| *tag == Some(txn)) {
+            link.open.remove(&txn);
+            self.at.remove(&attempt);
+            ends.push((attempt, End::Unsent));
+        }
+    }
+
+    /// A connection that is still not up has failed.
+    pub fn undialed(&mut self, key: usize, ends: &mut Ends) {
+        if self.links.get(&key).is_some_and(|link| !link.up) {
+            self.fail(key, ends);
+        }
+    }
+
+    /// Goes on with a connection that can be read or written.
+    pub fn ready(&mut self, now: Time, key: usize, readable: bool, ends: &mut Ends) {
+        let Some(link) = self.links.get_mut(&key) else { return };
+        if !link.up {
+            match link.stream.connected() {
+                Ok(up) => link.up = up,
+                Err(_) => return self.fail(key, ends),
+            }
+            if !link.up {
+                return;
+            }
+        }
+        self.flush(now, key, ends);
+        if readable && self.read(now, key, ends).is_err() {
+            self.fail(key, ends);
+        }
+    }
+
+    fn read(&mut self, now: Time, key: usize, ends: &mut Ends) -> io::Result<()> {
+        while let Some(link) = self.links.get_mut(&key) {
+            match link.stream.fill()? {
+                None => break,
+                Some(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
+                Some(_) => {}
+            }
+            loop {
+                let found = member::decode(link.stream.input());
+                let Some((id, reply, used)) =
+                    found.map_err(|_| io::Error::from(io::ErrorKind::InvalidData))?
+                else {
+                    break;
+                };
+                // An answer to what was given up, or to nothing that was asked, is dropped.
+                let txn = std::str::from_utf8(id).ok().and_then(Txn::new);
+                if let Some(sent) = txn.and_then(|txn| link.open.remove(&txn)) {
+                    self.at.remove(&sent.attempt);
+                    ends.push((sent.attempt, End::Reply(reply)));
+                }
+                link.stream.consume(used);
+                link.idle_since = now;
+            }
+        }
+        Ok(())
+    }
+
+    fn flush(&mut self, now: Time, key: usize, ends: &mut Ends) {
+        let Some(link) = self.links.get_mut(&key).filter(|link| link.up) else { return };
+        link.idle_since = now;
+        let open = &mut link.open;
+        let done = |tag: Option<Txn>| {
+            tag.and_then(|txn| open.get_mut(&txn)).into_iter().for_each(|sent| sent.written = true);
+        };
+        if link.stream.flush(done).and_then(|()| link.stream.rewatch(true)).is_err() {
+            self.fail(key, ends);
+        }
+    }
+
+    /// Gives a connection up with all that is open on it.
+    fn fail(&mut self, key: usize, ends: &mut Ends) {
+        let Some(link) = self.links.remove(&key) else { return };
+        self.of.get_mut(&link.member).into_iter().for_each(|keys| keys.retain(|k| *k != key));
+        let mut open: Vec<_> = link.open.into_values().collect();
+        open.sort_unstable_by_key(|sent| sent.attempt);
+        for sent in open {
+            self.at.remove(&sent.attempt);
+            ends.push((sent.attempt, if sent.written { End::Broken } else { End::Unsent }));
+        }
+    }
+
+    /// Closes connections that carry nothing and are old or not to be used again.
+    pub fn sweep(&mut self, now: Time) {
+        let over = |l: &Link| l.open.is_empty() && (l.retired || now > l.idle_since + self.idle);
+        let over: Vec<_> = self.links.iter().filter(|(_, l)| over(l)).map(|(key, _)| *key).collect();
+        over.into_iter().for_each(|key| self.fail(key, &mut Vec::new()));
+        self.of.retain(|_, keys| !keys.is_empty());
+    }
+}
--- /dev/null
+++ b/front/src/program/mod.rs
@@ -0,0 +1,12 @@
+//! Command line, configuration, log and the loop.
+mod cli;
+mod clients;
+mod config;
+mod feed;
+mod log;
+mod members;
+mod serve;
+#[cfg(test)]
+mod tests;
+
+pub use cli::run;
--- /dev/null
+++ b/front/src/protocol/client.rs
@@ -0,0 +1,182 @@
+//! Frames between clients and the front.
+use super::{hex16, Cursor, Unreadable};
+use crate::routing::{Answer, Ask, Item, Txn};
+use crate::transport::Outgoing;
+use std::rc::Rc;
+
+/// What the length of a frame may be.
+const LENGTH: std::ops::RangeInclusive<usize> = 5..=262_144;
+
+/// A frame from a client.
+#[derive(Debug)]
+pub enum Message<'a> {
+    /// A request on a stream, its fields and body still to be read by `ask`.
+    Request(u32, &'a [u8]),
+    /// Nobody waits for this stream any more.
+    Gone(u32),
+    /// Is the front ready?
+    Ready(u32),
+}
+
+/// Takes the first frame off `input`, with its length in bytes. `None`: it is not whole yet.
+pub fn decode(input: &[u8]) -> Result<Option<(Message<'_>, usize)>, Unreadable> {
+    let mut cursor = Cursor(input);
+    let Some(length) = cursor.u32().map(|n| n as usize) else { return Ok(None) };
+    if !LENGTH.contains(&length) {
+        return Err(Unreadable("frame length out of bounds"));
+    }
+    let Some(frame) = cursor.bytes(length) else { return Ok(None) };
+    let mut cursor = Cursor(frame);
+    let (kind, stream) = cursor.u8().zip(cursor.u32()).ok_or(Unreadable("frame cut off"))?;
+    let message = match kind {
+        10 if stream == 0 => return Err(Unreadable("request on stream 0")),
+        10 => Message::Request(stream, cursor.0),
+        12 => Message::Gone(stream),
+        20 => Message::Ready(stream),
+        _ => return Err(Unreadable("unknown frame type")),
+    };
+    Ok(Some((message, 4 + length)))
+}
+
+/// Reads the payload of a request; the error says which field is bad. Fields that are not known are passed
+/// over.
+pub fn ask(payload: &[u8]) -> Result<Ask, &'static str> {
+    let mut cursor = Cursor(payload);
+    let count = cursor.u8().ok_or("fields cut off")?;
+    let (mut class, mut txn, mut limit, mut item, mut have) = (None, None, None, None, None);
+    let (mut part, mut group) = (0, 0);
+    for _ in 0..count {
+        let name = cursor.u8().and_then(|n| cursor.bytes(n.into())).ok_or("field name cut off")?;
+        let value = cursor.u16().and_then(|n| cursor.bytes(n.into())).ok_or("field value cut off")?;
+        let value = std::str::from_utf8(value).map_err(|_| "a field is no text")?;
+        match name {
+            b"verb" => class = Some(value.to_string()),
+            b"txn" => {
+                hex16(value).ok_or("txn is not 16 hex digits")?;
+                txn = Txn::new(value);
+            }
+            b"limit" => limit = Some(value.parse::<u32>().map_err(|_| "limit is no number")?),
+            b"item" => {
+                let id = hex16(value).ok_or("item is not 16 hex digits")?;
+                item = Some(Item { text: value.into(), id });
+            }
+            b"part" => part = value.parse::<u32>().map_err(|_| "part is no number")?,
+            b"group" => {
+                group =
+                    value.parse::<u32>().ok().filter(|g| *g < 256).ok_or("group is no number below 256")?;
+            }
+            // It goes into a list of fields between commas.
+            b"have" => {
+                let bare = !value.is_empty() && value.bytes().all(|b| b.is_ascii_alphanumeric());
+                have = Some(bare.then(|| value.into()).ok_or("have is no bare tag")?);
+            }
+            _ => {}
+        }
+    }
+    Ok(Ask {
+        class: class.ok_or("no verb")?,
+        txn: txn.ok_or("no txn")?,
+        limit: u64::from(limit.ok_or("no limit")?) * 1_000,
+        item,
+        part,
+        group,
+        have,
+        body: cursor.0.into(),
+    })
+}
+
+fn frame(kind: u8, stream: u32, payload: &[u8], body: Rc<[u8]>) -> Outgoing<()> {
+    let length = 5 + payload.len() + body.len();
+    let mut head = Vec::with_capacity(9 + payload.len());
+    head.extend((length as u32).to_be_bytes());
+    head.push(kind);
+    head.extend(stream.to_be_bytes());
+    head.extend(payload);
+    Outgoing { tag: (), head, body, tail: b"" }
+}
+
+fn field(name: &str, value: &str) -> Vec<u8> {
+    let mut payload = vec![1, name.len() as u8];
+    payload.extend(name.bytes());
+    payload.extend((value.len() as u16).to_be_bytes());
+    payload.extend(value.bytes());
+    payload
+}
+
+/// The final answer of a stream.
+pub fn answer(stream: u32, answer: Answer) -> Outgoing<()> {
+    let (code, fields, body) = match answer {
+        Answer::Served(body) => (1, vec![0], body),
+        Answer::Same => (1, field("same", "1"), Rc::default()),
+        Answer::Refused(0) => (2, vec![0], Rc::default()),
+        Answer::Refused(later) => (2, field("later", &later.div_ceil(1_000).to_string()), Rc::default()),
+        Answer::Failed => (3, vec![0], Rc::default()),
+    };
+    frame(11, stream, &[&[code], &fields[..]].concat(), body)
+}
+
+/// An error that belongs to no request.
+pub fn error() -> Outgoing<()> {
+    answer(0, Answer::Failed)
+}
+
+/// Whether the front is ready.
+pub fn ready(stream: u32, yes: bool) -> Outgoing<()> {
+    frame(21, stream, &[if yes { 1 } else { 2 }, 0], Rc::default())
+}
+
+/// No new request on this connection.
+pub fn no_more() -> Outgoing<()> {
+    frame(30, 0, &[], Rc::default())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn request(fields: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+        let mut payload = vec![fields.len() as u8];
+        fields.iter().for_each(|(name, value)| payload.extend(&field(name, value)[1..]));
+        frame(10, 7, &payload, body.into()).head.into_iter().chain(body.iter().copied()).collect()
+    }
+
+    #[test]
+    fn a_request_is_read_once_its_last_byte_is_there() {
+        let fields = [
+            ("verb", "page-bits"),
+            ("txn", "9b1f03aa5c7e2d41"),
+            ("limit", "1500"),
+            ("item", "7F3a9c21e0b4d655"),
+            ("part", "3"),
+            ("group", "17"),
+            ("have", "4be0c1927d55a6f3"),
+            ("odd", "x"),
+        ];
+        let whole = request(&fields, b"body");
+        for cut in 0..whole.len() {
+            assert!(decode(&whole[..cut]).unwrap().is_none(), "cut at {cut}");
+        }
+        let Some((Message::Request(7, payload), used)) = decode(&whole).unwrap() else { panic!() };
+        assert_eq!(used, whole.len());
+        insta::assert_debug_snapshot!(ask(payload));
+        for cut in 0..payload.len() - 4 {
+            assert!(ask(&payload[..cut]).is_err(), "cut at {cut}");
+        }
+    }
+
+    #[test]
+    fn frames_out_of_bounds_are_unreadable_and_bad_fields_are_named() {
+        for head in [[0, 0, 0, 4], [0, 4, 0, 1], [0xff; 4]] {
+            assert!(decode(&head).is_err());
+        }
+        assert!(decode(&[0, 0, 0, 5, 99, 0, 0, 0, 1]).is_err());
+        assert!(decode(&[0, 0, 0, 5, 10, 0, 0, 0, 0]).is_err());
+        let bad = |name, value| {
+            let good = [("verb", "v"), ("txn", "9b1f03aa5c7e2d41"), ("limit", "5"), (name, value)];
+            ask(&request(&good, b"")[9..]).unwrap_err()
+        };
+        let told =
+            [bad("txn", "+b1f03aa5c7e2d41"), bad("limit", "-1"), bad("group", "256"), bad("have", "a,b")];
+        insta::assert_debug_snapshot!(told);
+    }
+}
--- /dev/null
+++ b/front/src/protocol/feed.rs
@@ -0,0 +1,140 @@
+//! Events of the control feed.
+use super::{Cursor, Unreadable};
+use marlport::api::Listed;
+use std::net::{Ipv4Addr, SocketAddr};
+
+/// Bytes of one frame at most: a whole list of some thousand members.
+const LENGTH_MOST: usize = 1 << 20;
+const RECORD: usize = 27;
+
+/// What the feed says of a member.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listing {
+    /// Its id, which outlives its address.
+    pub id: u32,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its state.
+    pub state: Listed,
+    /// Place in the settings' list of zones.
+    pub zone: u16,
+    /// Place in the settings' list of kinds.
+    pub kind: u8,
+    /// Its cell.
+    pub cell: u16,
+    /// Its size.
+    pub weight: f64,
+    /// Unix millisecond of a late start, or 0.
+    pub started_ms: u64,
+}
+
+/// One event.
+#[derive(Clone, Debug, PartialEq)]
+pub enum News {
+    /// The whole list, or what has changed in it.
+    Members {
+        /// Whether it is the whole list.
+        whole: bool,
+        /// The members.
+        list: Vec<Listing>,
+    },
+    /// An object or a group was purged.
+    Purge {
+        /// The object; `None` for a whole group.
+        object: Option<u64>,
+        /// The group, if no object is named.
+        group: u32,
+        /// Unix millisecond of the purge.
+        at_ms: u64,
+    },
+}
+
+/// What a front writes to begin with: the number of the last event that it holds.
+pub fn hello(last: u64) -> [u8; 8] {
+    last.to_be_bytes()
+}
+
+/// An event's number, the event (`None` if there is nothing new), and the length of its frame in bytes.
+type Decoded = (u64, Option<News>, usize);
+
+/// Takes the first frame off `input`. `None`: it is not whole yet.
+pub fn decode(input: &[u8]) -> Result<Option<Decoded>, Unreadable> {
+    let mut cursor = Cursor(input);
+    let Some(length) = cursor.u32().map(|n| n as usize) else { return Ok(None) };
+    if !(9..=LENGTH_MOST).contains(&length) {
+        return Err(Unreadable("frame length out of bounds"));
+    }
+    let Some(frame) = cursor.bytes(length) else { return Ok(None) };
+    let mut cursor = Cursor(frame);
+    let (number, kind) = cursor.u64().zip(cursor.u8()).ok_or(Unreadable("frame cut off"))?;
+    let news = match kind {
+        0 => None,
+        1 | 2 if cursor.0.len() % RECORD != 0 => return Err(Unreadable("record cut off")),
+        1 | 2 => {
+            let list = cursor.0.chunks(RECORD).map(|r| listing(Cursor(r))).collect::<Option<Vec<_>>>();
+            Some(News::Members { whole: kind == 1, list: list.ok_or(Unreadable("unknown state"))? })
+        }
+        3 => {
+            let (object, at_ms) = cursor.u64().zip(cursor.u64()).ok_or(Unreadable("purge cut off"))?;
+            Some(News::Purge { object: Some(object), group: 0, at_ms })
+        }
+        4 => {
+            let (group, at_ms) = cursor.u16().zip(cursor.u64()).ok_or(Unreadable("purge cut off"))?;
+            Some(News::Purge { object: None, group: group.into(), at_ms })
+        }
+        _ => return Err(Unreadable("unknown kind")),
+    };
+    Ok(Some((number, news, 4 + length)))
+}
+
+fn listing(mut record: Cursor) -> Option<Listing> {
+    let id = record.u32()?;
+    let address = SocketAddr::from((Ipv4Addr::from(record.array::<4>()?), record.u16()?));
+    let state = match record.u8()? {
+        0 => Listed::Ready,
+        1 => Listed::Draining,
+        2 => Listed::Gone,
+        _ => return None,
+    };
+    let (zone, kind, cell) = (record.u8()?.into(), record.u8()?, record.u16()?);
+    let weight = f64::from(record.u32()?) / 1e3;
+    Some(Listing { id, address, state, zone, kind, cell, weight, started_ms: record.u64()? })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn frame(number: u64, kind: u8, payload: &[u8]) -> Vec<u8> {
+        let length = (9 + payload.len()) as u32;
+        [&length.to_be_bytes(), &number.to_be_bytes()[..], &[kind], payload].concat()
+    }
+
+    #[test]
+    fn events_are_read_once_their_last_byte_is_there() {
+        let record = [0, 0xc4, 0x1f, 0x7a, 10, 1, 0, 9, 0x1f, 0x90, 1, 2, 1, 0, 5, 0, 0, 0x10, 0x68];
+        let record = [&record[..], &1_764_576_000_123u64.to_be_bytes()].concat();
+        let purge = [0x7f3a_9c21_e0b4_d655u64.to_be_bytes(), 1_764_576_000_123u64.to_be_bytes()].concat();
+        let group = [&[0, 17][..], &1_764_576_000_480u64.to_be_bytes()].concat();
+        let frames = [(41, 1, record), (42, 3, purge), (43, 4, group), (43, 0, vec![])];
+        let read: Vec<_> = frames
+            .iter()
+            .map(|(number, kind, payload)| {
+                let whole = frame(*number, *kind, payload);
+                (0..whole.len()).for_each(|cut| assert_eq!(decode(&whole[..cut]).unwrap(), None));
+                decode(&whole).unwrap().unwrap()
+            })
+            .collect();
+        insta::assert_debug_snapshot!(read);
+    }
+
+    #[test]
+    fn odd_frames_are_unreadable() {
+        let odd =
+            [frame(1, 1, &[0; 26]), frame(1, 3, &[0; 15]), frame(1, 9, &[]), vec![0, 0, 0, 8], vec![255; 4]];
+        odd.iter().for_each(|bytes| assert!(decode(bytes).is_err(), "{bytes:?}"));
+        let mut record = [0; 27];
+        record[10] = 3;
+        assert!(decode(&frame(1, 2, &record)).is_err());
+    }
+}
--- /dev/null
+++ b/front/src/protocol/known.rs
@@ -0,0 +1,67 @@
+//! The events that a front is given at its start, as JSON.
+use super::feed::{Listing, News};
+use super::hex16;
+use cranesill_settings::Names;
+use marlport::api::Listed;
+use serde_json::Value;
+
+/// Reads `known`: the number of the last event, and the events.
+pub fn read(known: &Value, names: &Names) -> Result<(u64, Vec<News>), String> {
+    let last = known["n"].as_u64().ok_or("known: no number")?;
+    let events = known["events"].as_array().ok_or("known: no events")?;
+    let read = |event| news(event, names).ok_or_else(|| format!("known: unusable event {event}"));
+    Ok((last, events.iter().map(read).collect::<Result<_, _>>()?))
+}
+
+fn news(event: &Value, names: &Names) -> Option<News> {
+    if let Some(purge) = event.get("purge") {
+        let object = purge["key"].as_str().map(|key| hex16(key).ok_or(())).transpose().ok()?;
+        let group = purge["group"].as_u64().map_or(Some(0), |g| u32::try_from(g).ok())?;
+        (object.is_some() || purge.get("group").is_some()).then_some(())?;
+        return Some(News::Purge { object, group, at_ms: purge["at"].as_u64()? });
+    }
+    let members = event.get("members")?;
+    let list = members["instances"].as_array()?.iter().map(|m| listing(m, names)).collect::<Option<_>>()?;
+    // The whole list stands in the first event, whatever its mark says.
+    let whole = members["reset"].as_bool().unwrap_or(false) || event["n"].as_u64() == Some(1);
+    Some(News::Members { whole, list })
+}
+
+fn listing(member: &Value, names: &Names) -> Option<Listing> {
+    let place = |list: &[String], name: &Value| list.iter().position(|n| Some(n.as_str()) == name.as_str());
+    Some(Listing {
+        id: u32::from_str_radix(member["instanceId"].as_str()?.strip_prefix("s-")?, 16).ok()?,
+        address: member["hostPort"].as_str()?.parse().ok()?,
+        state: match member["lifecycle"].as_str()? {
+            "in_service" => Listed::Ready,
+            "terminating" => Listed::Draining,
+            "terminated" => Listed::Gone,
+            _ => return None,
+        },
+        zone: u16::try_from(place(&names.zones, &member["zone"])?).ok()?,
+        kind: u8::try_from(place(&names.kinds, &member["machineType"])?).ok()?,
+        cell: u16::try_from(member["cell"].as_u64().unwrap_or(0)).ok()?,
+        weight: member["weight"].as_f64().unwrap_or(0.0),
+        started_ms: member["startedAtMs"].as_u64().unwrap_or(0),
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn events_are_read_by_the_names_of_the_settings() {
+        let text = |list: &[&str]| list.iter().map(|s| s.to_string()).collect();
+        let names = Names { zones: text(&["hub", "east"]), kinds: text(&["std"]), ..Names::default() };
+        let known = serde_json::json!({"n": 43, "events": [
+            {"n": 1, "members": {"generation": 7, "reset": false, "instances": [
+                {"instanceId": "s-00c41f7a", "hostPort": "10.1.0.9:8080", "zone": "east", "machineType": "std",
+                 "cell": 2, "lifecycle": "in_service", "weight": 4, "startedAtMs": 0}]}},
+            {"n": 42, "purge": {"key": "7f3a9c21e0b4d655", "at": 1_764_576_000_123u64}},
+            {"n": 43, "purge": {"group": 17, "at": 1_764_576_000_480u64}}]});
+        insta::assert_debug_snapshot!(read(&known, &names));
+        let odd = serde_json::json!({"n": 1, "events": [{"n": 1, "purge": {"at": 5}}]});
+        assert!(read(&odd, &names).is_err());
+    }
+}
--- /dev/null
+++ b/front/src/routing/admit.rs
@@ -0,0 +1,25 @@
+//! Admit: a front takes on no more than its memory can hold.
+use super::*;
+use marlport::api::{Event, Request};
+
+impl Front {
+    /// Passes a request on to the decisions, or answers it at once.
+    pub(super) fn admit(&mut self, now: Time, open: Open, request: Request) {
+        let (from, txn) = (open.from, open.ask.txn);
+        // Two open requests under one id could not be told apart at a member.
+        if self.by_txn.contains_key(&txn) || self.asked.contains_key(&from) {
+            return self.answer(from, Answer::Failed);
+        }
+        // Guards the memory limit: each request may come to hold an answer of full size.
+        let room = self.room.bytes.saturating_sub(self.held) / ANSWER_MOST;
+        if self.open.len() >= self.room.open.min(room) {
+            return self.answer(from, Answer::Refused(self.later()));
+        }
+        let id = request.id;
+        self.asked.insert(from, id);
+        self.by_txn.insert(txn, id);
+        self.commands.push_back(Command::Wake(open.deadline, Wake::Request(id)));
+        self.open.insert(id, open);
+        self.tell(now, Event::Request(request));
+    }
+}
--- /dev/null
+++ b/front/src/routing/book.rs
@@ -0,0 +1,69 @@
+//! Book: the end of each attempt is told to the decisions, once.
+use super::*;
+use marlport::api::{Event, Note, Outcome, Status};
+
+impl Front {
+    /// Books the end of an attempt; a second end of the same one is passed over.
+    pub fn ended(&mut self, now: Time, attempt: AttemptId, end: End) {
+        let Some(out) = self.out.remove(&attempt) else { return };
+        let id = attempt.request;
+        let (status, note, waited, meter) = match &end {
+            End::Reply(reply) => (status(reply), reply.note, reply.waited, &reply.meter[..]),
+            // Not written whole: the member can't have run it.
+            End::Unsent => (Status::ConnectFailed, Note::None, 0, &[][..]),
+            End::Broken => (Status::Reset, Note::None, 0, &[][..]),
+            End::CalledOff => (Status::Cancelled, Note::None, 0, &[][..]),
+            End::Expired => (Status::Timeout, Note::None, 0, &[][..]),
+        };
+        let closed = match &end {
+            End::Reply(reply) => self.relay(id, reply),
+            _ => !self.open.contains_key(&id),
+        };
+        let figure = |name: &String| meter.iter().find(|m| m.0 == *name).map_or(f32::NAN, |m| m.1);
+        let values: Vec<f32> = self.deployment.names.report.iter().map(figure).collect();
+        let report = self.deployment.layout.read(&values).filter(|_| !meter.is_empty());
+        let latency = now.saturating_sub(out.sent);
+        let number = attempt.number;
+        self.tell(
+            now,
+            Event::Outcome(Outcome {
+                request: id,
+                attempt: number,
+                closed,
+                status,
+                note,
+                waited,
+                latency,
+                report,
+            }),
+        );
+    }
+
+    /// The time of an attempt is up: it is given up at the member, and its end is booked.
+    pub(super) fn expire(&mut self, now: Time, attempt: AttemptId) {
+        if self.out.contains_key(&attempt) {
+            self.commands.push_back(Command::Abort(attempt));
+            self.ended(now, attempt, End::Expired);
+        }
+    }
+
+    /// Guards the rule that every request is answered: whatever the decisions wait for, the client's time is
+    /// up.
+    pub(super) fn overdue(&mut self, now: Time, id: RequestId) {
+        if self.open.contains_key(&id) {
+            self.conclude(id, Answer::Failed);
+            self.tell(now, Event::Gone(id));
+        }
+    }
+}
+
+/// A word that is no answer to a fetch counts as an error: it may have run.
+fn status(reply: &MemberReply) -> Status {
+    match reply.word {
+        Word::Hit | Word::Valid => Status::Ok,
+        Word::None => Status::Miss,
+        Word::Shed => Status::Full,
+        Word::Late => Status::Moot,
+        Word::Fault | Word::Other => Status::Error,
+    }
+}
--- /dev/null
+++ b/front/src/routing/mod.rs
@@ -0,0 +1,110 @@
+//! The chain of stages that every request passes: take in, admit, route, send, relay, book. Requests and
+//! answers go in, commands come out; no bytes of a wire and no socket is seen here, so a second client
+//! protocol would pass through the same decisions and rules.
+mod admit;
+mod book;
+mod relay;
+mod route;
+mod send;
+mod take_in;
+#[cfg(test)]
+mod tests;
+mod types;
+
+pub use types::*;
+
+use cranesill_settings::Deployment;
+use marlport::api::{Action, MemberId, RequestId, Span, Time};
+use marlport::Router;
+use std::collections::{HashMap, VecDeque};
+use std::rc::Rc;
+
+/// A request that still is owed its final answer.
+#[derive(Debug)]
+struct Open {
+    from: ReplyTo,
+    ask: Rc<Ask>,
+    deadline: Time,
+    /// Attempts sent so far.
+    sent: u16,
+}
+
+/// An attempt that has not ended.
+#[derive(Debug)]
+struct Out {
+    sent: Time,
+}
+
+/// Limits of one front beyond those of the settings.
+#[derive(Clone, Copy, Debug)]
+pub struct Room {
+    /// Requests open at once.
+    pub open: usize,
+    /// Bytes that answers may take up in memory, at most.
+    pub bytes: usize,
+}
+
+/// Bytes that one answer may take up.
+const ANSWER_MOST: usize = 262_144;
+
+/// The stages and what they share.
+#[derive(Debug)]
+pub struct Front {
+    router: Router,
+    deployment: Deployment,
+    room: Room,
+    open: HashMap<RequestId, Open>,
+    /// The requests that are open, by who asked.
+    asked: HashMap<ReplyTo, RequestId>,
+    by_txn: HashMap<Txn, RequestId>,
+    out: HashMap<AttemptId, Out>,
+    /// Bytes of answers that are not with their clients yet.
+    held: usize,
+    last: u64,
+    actions: Vec<Action>,
+    commands: VecDeque<Command>,
+}
+
+impl Front {
+    /// A front that knows of no member yet.
+    pub fn new(deployment: Deployment, seed: u64, room: Room) -> Self {
+        Front {
+            router: Router::new(deployment.settings.clone(), seed),
+            deployment,
+            room,
+            open: HashMap::new(),
+            asked: HashMap::new(),
+            by_txn: HashMap::new(),
+            out: HashMap::new(),
+            held: 0,
+            last: 0,
+            actions: Vec::new(),
+            commands: VecDeque::new(),
+        }
+    }
+
+    /// The next thing to be done, in the order decided.
+    pub fn command(&mut self) -> Option<Command> {
+        self.commands.pop_front()
+    }
+
+    /// Requests that are owed an answer.
+    pub fn open(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Tells how many bytes are held for clients beside what the open requests may come to.
+    pub fn holds(&mut self, bytes: usize) {
+        self.held = bytes;
+    }
+
+    /// From now on everything new is refused.
+    pub fn close(&mut self) {
+        self.room.open = 0;
+    }
+
+    /// How long a client is asked to stay away when the front itself has no room.
+    fn later(&self) -> Span {
+        self.deployment.settings.max_retry_after
+    }
+}
--- /dev/null
+++ b/front/src/routing/route.rs
@@ -0,0 +1,48 @@
+//! Route: the decisions are told what happened, and what they ask for is carried out.
+use super::*;
+use marlport::api::{Event, ListKind};
+
+impl Front {
+    /// Tells the decisions of an event and carries out what they ask for.
+    pub(super) fn tell(&mut self, now: Time, event: Event) {
+        let mut actions = std::mem::take(&mut self.actions);
+        self.router.handle(now, event, &mut actions);
+        for action in actions.drain(..) {
+            match action {
+                Action::Attempt { request, target, timeout, fill } => {
+                    self.send(now, request, target, timeout, fill)
+                }
+                Action::Cancel(request, number) => self.call_off(AttemptId { request, number }),
+                Action::Refuse(id, later) => self.conclude(id, Answer::Refused(later)),
+                Action::Fail(id) => self.conclude(id, Answer::Failed),
+                Action::Timer(span, token) => {
+                    self.commands.push_back(Command::Wake(now + span, Wake::Timer(token)))
+                }
+                // The control feed pushes changes by itself.
+                Action::Subscribe => {}
+                Action::Log(line) => self.commands.push_back(Command::Log(line)),
+            }
+        }
+        self.actions = actions;
+    }
+
+    /// Takes over the list of members, or what has changed in it.
+    pub fn members(&mut self, now: Time, whole: bool, list: Vec<marlport::api::Entry>) {
+        self.tell(now, Event::Members(if whole { ListKind::Full } else { ListKind::Delta }, list));
+    }
+
+    /// Takes over a purge made `at`.
+    pub fn purged(&mut self, now: Time, object: Option<u64>, group: u32, at: Time) {
+        let object = object.map(marlport::api::ObjectId);
+        self.tell(now, Event::Purged(object, group, now.saturating_sub(at)));
+    }
+
+    /// A moment that the stages asked to be woken at has come.
+    pub fn wake(&mut self, now: Time, wake: Wake) {
+        match wake {
+            Wake::Timer(token) => self.tell(now, Event::Timer(token)),
+            Wake::Attempt(attempt) => self.expire(now, attempt),
+            Wake::Request(id) => self.overdue(now, id),
+        }
+    }
+}
--- /dev/null
+++ b/front/src/routing/send.rs
@@ -0,0 +1,49 @@
+//! Send: an attempt that was decided becomes a fetch for a member.
+use super::*;
+use marlport::api::Fill;
+
+impl Front {
+    /// Sends an attempt; they are numbered in the order sent.
+    pub(super) fn send(
+        &mut self,
+        now: Time,
+        request: RequestId,
+        target: MemberId,
+        timeout: Span,
+        fill: Option<Fill>,
+    ) {
+        // The decisions learn of a final answer before they decide again, so the request is open here.
+        let Some(open) = self.open.get_mut(&request) else { return };
+        let attempt = AttemptId { request, number: open.sent };
+        open.sent += 1;
+        self.out.insert(attempt, Out { sent: now });
+        let own = if timeout > 0 { now + timeout } else { open.deadline };
+        let deadline = open.deadline.min(own);
+        let fetch = Fetch {
+            txn: open.ask.txn,
+            class: open.ask.class.as_str().into(),
+            item: open.ask.item.clone(),
+            part: open.ask.part,
+            deadline,
+            fill: fill.map(|fill| Source {
+                source: Some(fill.source).filter(|s| *s != target),
+                rank: fill.rank,
+                oldest: fill.oldest,
+                join: fill.join,
+                only_held: fill.only_held,
+                renew: fill.renew,
+            }),
+            seen: open.ask.have.clone(),
+            body: Rc::clone(&open.ask.body),
+        };
+        self.commands.push_back(Command::Wake(deadline, Wake::Attempt(attempt)));
+        self.commands.push_back(Command::Send(attempt, target, fetch));
+    }
+
+    /// Calls an attempt off, if it is still out; its end is booked as soon as that is done.
+    pub(super) fn call_off(&mut self, attempt: AttemptId) {
+        if self.out.contains_key(&attempt) {
+            self.commands.push_back(Command::Abort(attempt));
+        }
+    }
+}
--- /dev/null
+++ b/front/src/routing/take_in.rs
@@ -0,0 +1,38 @@
+//! Take in: what a client sends becomes a request of the decisions.
+use super::*;
+use marlport::api::{ObjectId, Request};
+
+/// Left of the client's time when the last answer goes out, so that it arrives in time.
+const MARGIN: Span = 10_000;
+
+impl Front {
+    /// Takes in a client's request that came whole at `now`.
+    pub fn take_in(&mut self, now: Time, from: ReplyTo, ask: Ask) {
+        let deadline = now + ask.limit - MARGIN.min(ask.limit / 2);
+        let class = self.deployment.names.classes.iter().position(|name| *name == ask.class);
+        let write = class.is_some_and(|c| self.deployment.settings.classes[c].write);
+        // Only what runs at the origin can do without an object.
+        let Some(class) = class.filter(|_| write || ask.item.is_some()) else {
+            return self.answer(from, Answer::Failed);
+        };
+        self.last += 1;
+        let request = Request {
+            id: RequestId(self.last),
+            class: class as u16,
+            object: ObjectId(ask.item.as_ref().map_or(0, |item| item.id)),
+            part: ask.part,
+            group: ask.group,
+            size_kb: 0.0,
+            left: deadline - now,
+        };
+        self.admit(now, Open { from, ask: Rc::new(ask), deadline, sent: 0 }, request);
+    }
+
+    /// Nobody waits for this stream any more.
+    pub fn gone(&mut self, now: Time, from: ReplyTo) {
+        if let Some(id) = self.asked.get(&from).copied() {
+            self.forget(id);
+            self.tell(now, marlport::api::Event::Gone(id));
+        }
+    }
+}
--- /dev/null
+++ b/front/src/routing/types.rs
@@ -0,0 +1,159 @@
+//! What the stages speak of.
+use marlport::api::{MemberId, Note, RequestId, Span, Time};
+use std::rc::Rc;
+
+/// The id of a request: 16 hex digits, passed on as they came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Txn([u8; 16]);
+
+impl Txn {
+    /// From the digits.
+    pub fn new(text: &str) -> Option<Self> {
+        text.as_bytes().try_into().ok().map(Txn)
+    }
+
+    /// The digits.
+    pub fn as_bytes(&self) -> &[u8] {
+        &self.0
+    }
+}
+
+/// An object: its digits as they came, and the number that they are.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Item {
+    pub text: Rc<str>,
+    pub id: u64,
+}
+
+/// A client's request.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    pub class: String,
+    pub txn: Txn,
+    /// How long the client waits.
+    pub limit: Span,
+    pub item: Option<Item>,
+    pub part: u32,
+    pub group: u32,
+    /// The tag of the copy that the client holds.
+    pub have: Option<Rc<str>>,
+    pub body: Rc<[u8]>,
+}
+
+/// Who waits for an answer: a connection and a stream on it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct ReplyTo {
+    pub client: usize,
+    pub stream: u32,
+}
+
+/// The final answer of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// The bytes.
+    Served(Rc<[u8]>),
+    /// The copy that the client holds is the one.
+    Same,
+    /// Trying again does no harm, after this span.
+    Refused(Span),
+    /// Nothing is promised.
+    Failed,
+}
+
+/// One attempt of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct AttemptId {
+    pub request: RequestId,
+    pub number: u16,
+}
+
+/// How a miss is filled.
+#[derive(Clone, Copy, Debug)]
+pub struct Source {
+    /// Where from; `None`: it is not.
+    pub source: Option<MemberId>,
+    pub rank: u8,
+    pub oldest: Span,
+    pub join: bool,
+    pub only_held: bool,
+    pub renew: bool,
+}
+
+/// What a member is asked.
+#[derive(Clone, Debug)]
+pub struct Fetch {
+    pub txn: Txn,
+    pub class: Rc<str>,
+    pub item: Option<Item>,
+    pub part: u32,
+    /// When the front stops waiting.
+    pub deadline: Time,
+    pub fill: Option<Source>,
+    pub seen: Option<Rc<str>>,
+    pub body: Rc<[u8]>,
+}
+
+/// What a member's answer says first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Word {
+    Hit,
+    Valid,
+    None,
+    Shed,
+    Fault,
+    Late,
+    /// Nothing that a fetch is answered with.
+    Other,
+}
+
+/// The answer of a member.
+#[derive(Clone, Debug)]
+pub struct MemberReply {
+    pub word: Word,
+    pub body: Rc<[u8]>,
+    pub note: Note,
+    pub waited: Span,
+    /// Its load report: names and figures.
+    pub meter: Vec<(String, f32)>,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Debug)]
+pub enum End {
+    /// With an answer.
+    Reply(MemberReply),
+    /// It was never written whole: no connection, or it broke before.
+    Unsent,
+    /// The connection broke after it was written whole.
+    Broken,
+    /// It was called off.
+    CalledOff,
+    /// Its time was up.
+    Expired,
+}
+
+/// What the stages want to be woken for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Wake {
+    /// A timer of the decisions.
+    Timer(u64),
+    /// The time of an attempt is up.
+    Attempt(AttemptId),
+    /// The client stops waiting.
+    Request(RequestId),
+}
+
+/// What the stages want to be done.
+#[derive(Clone, Debug)]
+pub enum Command {
+    /// Send an attempt.
+    Send(AttemptId, MemberId, Fetch),
+    /// Give an attempt up that was sent.
+    Abort(AttemptId),
+    /// Give a client its final answer.
+    Answer(ReplyTo, Answer),
+    /// Call `wake` at this moment.
+    Wake(Time, Wake),
+    /// Write a line to the log.
+    Log(String),
+}
--- /dev/null
+++ b/front/src/transport/deadlines.rs
@@ -0,0 +1,48 @@
+//! Moments at which something is due.
+use marlport::api::Time;
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+/// A queue of due moments. Entries are not taken back: who is woken checks whether it still matters.
+#[derive(Debug)]
+pub struct Deadlines<T> {
+    heap: BinaryHeap<Reverse<(Time, u64, T)>>,
+    last: u64,
+}
+
+impl<T: Ord> Deadlines<T> {
+    /// An empty queue.
+    pub fn new() -> Self {
+        Deadlines { heap: BinaryHeap::new(), last: 0 }
+    }
+
+    /// Notes that `what` is due `at`.
+    pub fn add(&mut self, at: Time, what: T) {
+        self.last += 1;
+        self.heap.push(Reverse((at, self.last, what)));
+    }
+
+    /// The next moment at which something is due.
+    pub fn next(&self) -> Option<Time> {
+        self.heap.peek().map(|Reverse((at, ..))| *at)
+    }
+
+    /// Takes out what is due by `now`, earliest first; what is due at the same moment in the order added.
+    pub fn take(&mut self, now: Time) -> Option<T> {
+        self.next().filter(|at| *at <= now)?;
+        self.heap.pop().map(|Reverse((_, _, what))| what)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_is_due_comes_in_order_and_once() {
+        let mut queue = Deadlines::new();
+        [(5, 'c'), (3, 'z'), (3, 'a'), (9, 'd')].into_iter().for_each(|(at, what)| queue.add(at, what));
+        let due: Vec<_> = std::iter::from_fn(|| queue.take(5)).collect();
+        assert_eq!((due, queue.next()), (vec!['z', 'a', 'c'], Some(9)));
+    }
+}
--- /dev/null
+++ b/front/src/transport/mod.rs
@@ -0,0 +1,10 @@
+//! Sockets, clock and deadlines. Nothing here knows what the bytes mean.
+mod clock;
+mod deadlines;
+mod reactor;
+mod stream;
+
+pub use clock::Clock;
+pub use deadlines::Deadlines;
+pub use reactor::{Reactor, Registered};
+pub use stream::{dial, listen, Outgoing, Stream};
--- /dev/null
+++ b/front/src/transport/reactor.rs
@@ -0,0 +1,77 @@
+//! The poller and the sources that it watches.
+use marlport::api::Time;
+use polling::{Event, Events, PollMode, Poller};
+use std::io;
+use std::ops::{Deref, DerefMut};
+use std::os::fd::{AsFd, AsRawFd};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Waits for sockets, level-triggered.
+pub struct Reactor {
+    poller: Rc<Poller>,
+    events: Events,
+}
+
+/// A source that is watched for as long as this lives.
+#[derive(Debug)]
+pub struct Registered<S: AsFd> {
+    source: S,
+    poller: Rc<Poller>,
+    key: usize,
+}
+
+impl Reactor {
+    /// A reactor that watches nothing yet.
+    pub fn new() -> io::Result<Self> {
+        Ok(Reactor { poller: Rc::new(Poller::new()?), events: Events::new() })
+    }
+
+    #[allow(unsafe_code)]
+    /// Watches `source` under `key`.
+    pub fn watch<S: AsFd + AsRawFd>(&self, source: S, key: usize, write: bool) -> io::Result<Registered<S>> {
+        // SAFETY: a source has to leave the poller before it is closed. `Registered` owns it from here on and
+        // takes it out when it is dropped, which is before its field `source` is.
+        unsafe { self.poller.add_with_mode(&source, Event::new(key, true, write), PollMode::Level)? };
+        Ok(Registered { source, poller: Rc::clone(&self.poller), key })
+    }
+
+    /// Waits until something can be done or the moment `until` has come; the keys, with whether they can be
+    /// read and written.
+    pub fn wait(&mut self, now: Time, until: Option<Time>) -> io::Result<Vec<(usize, bool, bool)>> {
+        self.events.clear();
+        let left = until.map(|at| Duration::from_micros(at.saturating_sub(now)));
+        match self.poller.wait(&mut self.events, left) {
+            Err(e) if e.kind() != io::ErrorKind::Interrupted => return Err(e),
+            _ => {}
+        }
+        Ok(self.events.iter().map(|e| (e.key, e.readable, e.writable)).collect())
+    }
+}
+
+impl<S: AsFd> Registered<S> {
+    /// Changes what it is watched for.
+    pub fn rewatch(&self, read: bool, write: bool) -> io::Result<()> {
+        self.poller.modify_with_mode(&self.source, Event::new(self.key, read, write), PollMode::Level)
+    }
+}
+
+impl<S: AsFd> Drop for Registered<S> {
+    fn drop(&mut self) {
+        // It can only fail for a source that is not watched.
+        let _ = self.poller.delete(&self.source);
+    }
+}
+
+impl<S: AsFd> Deref for Registered<S> {
+    type Target = S;
+    fn deref(&self) -> &S {
+        &self.source
+    }
+}
+
+impl<S: AsFd> DerefMut for Registered<S> {
+    fn deref_mut(&mut self) -> &mut S {
+        &mut self.source
+    }
+}
--- /dev/null
+++ b/front/src/transport/stream.rs
@@ -0,0 +1,192 @@
+//! A connection with its buffers.
+use super::{Reactor, Registered};
+use socket2::{Domain, Protocol, Socket, Type};
+use std::collections::VecDeque;
+use std::io::{self, IoSlice, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+
+/// Bytes that one read takes at most.
+const READ_MOST: usize = 64 * 1024;
+/// Slices that one gathered write takes at most.
+const SLICES_MOST: usize = 48;
+/// Connections that the system accepts ahead of the program.
+const BACKLOG: i32 = 1024;
+
+/// Something to be written: its parts stay where they are and go out in one gathered write.
+#[derive(Debug)]
+pub struct Outgoing<T> {
+    /// Given back once all of it is written.
+    pub tag: T,
+    /// The head, written for this one.
+    pub head: Vec<u8>,
+    /// The body, shared with whoever holds it.
+    pub body: Rc<[u8]>,
+    /// What closes it.
+    pub tail: &'static [u8],
+}
+
+impl<T> Outgoing<T> {
+    fn parts(&self) -> [&[u8]; 3] {
+        [&self.head, &self.body, self.tail]
+    }
+
+    fn len(&self) -> usize {
+        self.parts().iter().map(|p| p.len()).sum()
+    }
+}
+
+/// A connection, its input that is not consumed yet and its output that is not written yet.
+#[derive(Debug)]
+pub struct Stream<T> {
+    socket: Registered<TcpStream>,
+    input: Vec<u8>,
+    consumed: usize,
+    output: VecDeque<Outgoing<T>>,
+    /// Bytes of the first of `output` that are written.
+    written: usize,
+    output_len: usize,
+    watched: (bool, bool),
+}
+
+impl<T> Stream<T> {
+    /// A connection that was accepted or is being made.
+    pub fn new(reactor: &Reactor, socket: TcpStream, key: usize, connecting: bool) -> io::Result<Self> {
+        socket.set_nonblocking(true)?;
+        socket.set_nodelay(true)?;
+        let socket = reactor.watch(socket, key, connecting)?;
+        let (input, output, watched) = (Vec::new(), VecDeque::new(), (true, connecting));
+        Ok(Stream { socket, input, consumed: 0, output, written: 0, output_len: 0, watched })
+    }
+
+    /// Whether a connection that was being made is up; an error if it can't be.
+    pub fn connected(&self) -> io::Result<bool> {
+        if let Some(error) = self.socket.take_error()? {
+            return Err(error);
+        }
+        match self.socket.peer_addr() {
+            Ok(_) => Ok(true),
+            Err(e) if e.kind() == io::ErrorKind::NotConnected => Ok(false),
+            Err(e) => Err(e),
+        }
+    }
+
+    /// Reads once. `None`: there is nothing now; 0: the other side has ended it.
+    pub fn fill(&mut self) -> io::Result<Option<usize>> {
+        if self.consumed > 0 {
+            self.input.drain(..self.consumed);
+            self.consumed = 0;
+        }
+        if self.input.is_empty() {
+            self.input.shrink_to(READ_MOST);
+        }
+        let held = self.input.len();
+        self.input.resize(held + READ_MOST, 0);
+        let got = self.socket.read(&mut self.input[held..]);
+        self.input.truncate(held + *got.as_ref().unwrap_or(&0));
+        match got {
+            Ok(n) => Ok(Some(n)),
+            Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => Ok(None),
+            Err(e) => Err(e),
+        }
+    }
+
+    /// The input that is not consumed yet.
+    pub fn input(&self) -> &[u8] {
+        &self.input[self.consumed..]
+    }
+
+    /// Marks the first `n` bytes of the input as dealt with.
+    pub fn consume(&mut self, n: usize) {
+        self.consumed += n;
+    }
+
+    /// Bytes that this connection holds in memory.
+    pub fn held(&self) -> usize {
+        self.input.len() + self.output_len
+    }
+
+    /// Whether nothing is left to be written.
+    pub fn flushed(&self) -> bool {
+        self.output.is_empty()
+    }
+
+    /// Adds something to be written.
+    pub fn push(&mut self, out: Outgoing<T>) {
+        self.output_len += out.len();
+        self.output.push_back(out);
+    }
+
+    /// Takes back what is not begun yet. `false`: it was begun, is written, or was never there.
+    pub fn take_back(&mut self, is_it: impl Fn(&T) -> bool) -> bool {
+        let begun = usize::from(self.written > 0);
+        let found = self.output.iter().skip(begun).position(|o| is_it(&o.tag));
+        let out = found.and_then(|i| self.output.remove(begun + i));
+        self.output_len -= out.as_ref().map_or(0, Outgoing::len);
+        out.is_some()
+    }
+
+    /// Writes what can be written; `done` gets the tag of each that is whole.
+    pub fn flush(&mut self, mut done: impl FnMut(T)) -> io::Result<()> {
+        while !self.output.is_empty() {
+            let mut skip = self.written;
+            let mut slices = Vec::with_capacity(SLICES_MOST);
+            for part in self.output.iter().flat_map(Outgoing::parts).take(SLICES_MOST) {
+                let begun = skip.min(part.len());
+                skip -= begun;
+                if begun < part.len() {
+                    slices.push(IoSlice::new(&part[begun..]));
+                }
+            }
+            match self.socket.write_vectored(&slices) {
+                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+                Ok(n) => self.written += n,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
+                Err(e) => return Err(e),
+            }
+            while let Some(len) = self.output.front().map(Outgoing::len).filter(|len| *len <= self.written) {
+                self.written -= len;
+                self.output_len -= len;
+                self.output.pop_front().into_iter().for_each(|out| done(out.tag));
+            }
+        }
+        Ok(())
+    }
+
+    /// Watches the socket for reading as told, and for writing while something is left to be written.
+    pub fn rewatch(&mut self, read: bool) -> io::Result<()> {
+        let wanted = (read, !self.output.is_empty());
+        if wanted != self.watched {
+            self.socket.rewatch(wanted.0, wanted.1)?;
+            self.watched = wanted;
+        }
+        Ok(())
+    }
+
+    /// Tells the other side that nothing more will be written.
+    pub fn finish(&self) {
+        // A connection that is gone already needs no farewell.
+        let _ = self.socket.shutdown(std::net::Shutdown::Write);
+    }
+}
+
+/// Begins to make a connection; it is up once the socket can be written.
+pub fn dial(to: SocketAddr) -> io::Result<TcpStream> {
+    let socket = Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_nonblocking(true)?;
+    match socket.connect(&to.into()) {
+        Err(e) if e.raw_os_error() != Some(libc::EINPROGRESS) => Err(e),
+        _ => Ok(socket.into()),
+    }
+}
+
+/// Listens on an address, also right after an earlier process did.
+pub fn listen(at: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(at), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&at.into())?;
+    socket.listen(BACKLOG)?;
+    Ok(socket.into())
+}
--- a/benchlink/src/settings.rs
+++ b/settings/src/lib.rs
@@ -1,5 +1,9 @@
-//! Reads the start-up settings. Unknown keys are passed over; a missing key gets the wire's default.
-use marlport::api::{Class, ColdLimits, Effect, KeyGroup, Report, Settings};
+//! Reads a deployment's settings: the JSON object that an instance gets from the simulator and a front from
+//! its configuration. Unknown keys are passed over; a missing key gets the wire's default.
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
+
+use marlport::api::{Class, ColdLimits, Effect, KeyGroup, Report, Settings, Span};
 use serde_json::Value;
 
 fn number(v: &Value, key: &str) -> f64 {
@@ -34,9 +38,55 @@
     }
 }
 
+/// Names that stand on sockets where the simulator's wire has numbers: each list is in the wire's order.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    /// Request classes.
+    pub classes: Vec<String>,
+    /// Zones.
+    pub zones: Vec<String>,
+    /// Kinds of members.
+    pub kinds: Vec<String>,
+    /// Values of a load report.
+    pub report: Vec<String>,
+}
+
+/// What the settings say of connections and open requests.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Members close connections that were idle for this long.
+    pub idle: Span,
+    /// Attempts that one connection carries at once.
+    pub streams: usize,
+    /// Requests that an instance may have open.
+    pub open: usize,
+}
+
+/// The settings, as far as any part of the project uses them.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    /// For the decisions.
+    pub settings: Settings,
+    /// Where the figures of a load report stand.
+    pub layout: ReportLayout,
+    /// For sockets.
+    pub names: Names,
+    /// For sockets.
+    pub limits: Limits,
+}
+
+fn names(list: &Value, key: Option<&str>) -> Vec<String> {
+    let name = |v: &Value| key.map_or(v, |k| &v[k]).as_str().unwrap_or_default().to_string();
+    list.as_array().map(|all| all.iter().map(name).collect()).unwrap_or_default()
+}
+
 /// Parses the JSON text of the settings.
-pub fn parse(text: &[u8]) -> Result<(Settings, ReportLayout), String> {
-    let v: Value = serde_json::from_slice(text).map_err(|e| format!("settings: {e}"))?;
+pub fn parse(text: &[u8]) -> Result<Deployment, String> {
+    read(&serde_json::from_slice(text).map_err(|e| format!("settings: {e}"))?)
+}
+
+/// Reads settings that are parsed already.
+pub fn read(v: &Value) -> Result<Deployment, String> {
     if !v.is_object() {
         return Err("settings: not an object".to_string());
     }
@@ -45,7 +95,7 @@
     let layout = ReportLayout { inflight: place("concurrent"), link: place("x1") };
     let (family, limits, rules) = (&v["familyInfo"], &v["policyLimits"], &v["rules"]);
     let none = Vec::new();
-    let zone = number(&v, "zone") as u16;
+    let zone = number(v, "zone") as u16;
     let mut classes = Vec::new();
     for (i, c) in v["classes"].as_array().unwrap_or(&none).iter().enumerate() {
         let effect = match c["semantics"].as_str() {
@@ -79,8 +129,8 @@
     let settings = Settings {
         zone,
         routers_by_zone: seats.iter().map(|s| s.as_u64().unwrap_or(0) as u32).collect(),
-        routers: number(&v, "nInstances") as u32,
-        number: number(&v, "index") as u32,
+        routers: number(v, "nInstances") as u32,
+        number: number(v, "index") as u32,
         classes,
         parent_kind: kind(family, "upperKind"),
         origin_kind: kind(family, "rootKind"),
@@ -103,5 +153,17 @@
         max_retry_after: if flag(limits, "retryAfter") { span(limits, "maxRetryAfter") } else { 0 },
         must_subscribe: v["discovery"].as_str() == Some("subscribe"),
     };
-    Ok((settings, layout))
+    let names = Names {
+        classes: names(&v["classes"], Some("name")),
+        zones: names(&v["zones"], None),
+        kinds: names(&v["kinds"], None),
+        report: names(&v["report"]["fields"], None),
+    };
+    let told = |key, default: f64| Some(number(limits, key)).filter(|n| *n >= 1.0).unwrap_or(default);
+    let limits = Limits {
+        idle: told("connIdle", 15e6) as Span,
+        streams: told("streamsPerConn", 1.0) as usize,
+        open: told("openCap", 20_000.0) as usize,
+    };
+    Ok(Deployment { settings, layout, names, limits })
 }
