--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -1,9 +1,9 @@
-//! Hosts marlport routers on the wire of the bench: frames on standard input and output.
+//! Hosts cranesill routers on the wire of the bench: frames on standard input and output.
 mod wire;
 
+use cranesill::api::{Event, Outcome};
+use cranesill::Router;
 use cranesill_settings as settings;
-use marlport::api::{Event, Outcome};
-use marlport::Router;
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::panic::{catch_unwind, AssertUnwindSafe};
--- a/benchlink/src/tests.rs
+++ b/benchlink/src/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use marlport::api::*;
+use cranesill::api::*;
 
 fn bytes(hex: &str) -> Vec<u8> {
     let digits: Vec<u8> = hex.bytes().filter(|b| !b.is_ascii_whitespace()).collect();
--- a/benchlink/src/wire.rs
+++ b/benchlink/src/wire.rs
@@ -1,5 +1,5 @@
 //! Decodes and encodes the frames and records of the wire. All numbers are little-endian, unpadded.
-use marlport::api::*;
+use cranesill::api::*;
 use std::io::{ErrorKind, Read};
 
 /// A decoded event record.
--- a/front/src/program/clients.rs
+++ b/front/src/program/clients.rs
@@ -2,7 +2,7 @@
 use crate::protocol::client::{self, Message};
 use crate::routing::{Answer, Ask, ReplyTo};
 use crate::transport::{Reactor, Stream};
-use marlport::api::{Span, Time};
+use cranesill::api::{Span, Time};
 use std::collections::{HashMap, HashSet};
 use std::io;
 use std::net::TcpStream;
--- a/front/src/program/feed.rs
+++ b/front/src/program/feed.rs
@@ -1,7 +1,7 @@
 //! The connection to the control feed.
 use crate::protocol::feed::{decode, hello, News};
 use crate::transport::{dial, Outgoing, Reactor, Stream};
-use marlport::api::{Span, Time};
+use cranesill::api::{Span, Time};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/front/src/program/log.rs
+++ b/front/src/program/log.rs
@@ -1,5 +1,5 @@
 //! The log: lines on standard error.
-use marlport::api::{Span, Time};
+use cranesill::api::{Span, Time};
 
 const SECOND: Span = 1_000_000;
 /// Lines a second at most: guards the one core against a storm of news.
--- a/front/src/program/members.rs
+++ b/front/src/program/members.rs
@@ -2,7 +2,7 @@
 use crate::protocol::member;
 use crate::routing::{AttemptId, End, Fetch, Txn};
 use crate::transport::{dial, Reactor, Stream};
-use marlport::api::{Entry, Listed, MemberId, Span, Time};
+use cranesill::api::{Entry, Listed, MemberId, Span, Time};
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
--- a/front/src/program/serve.rs
+++ b/front/src/program/serve.rs
@@ -7,7 +7,7 @@
 use crate::protocol::feed::{Listing, News};
 use crate::routing::{Answer, AttemptId, Command, End, Front, Wake};
 use crate::transport::{listen, Clock, Deadlines, Reactor, Registered};
-use marlport::api::{Entry, MemberId, Span, Time};
+use cranesill::api::{Entry, MemberId, Span, Time};
 use std::io;
 use std::net::TcpListener;
 use std::os::unix::net::UnixStream;
--- a/front/src/protocol/feed.rs
+++ b/front/src/protocol/feed.rs
@@ -1,6 +1,6 @@
 //! Events of the control feed.
 use super::{Cursor, Unreadable};
-use marlport::api::Listed;
+use cranesill::api::Listed;
 use std::net::{Ipv4Addr, SocketAddr};
 
 /// Bytes of one frame at most: a whole list of some thousand members.
--- a/front/src/protocol/known.rs
+++ b/front/src/protocol/known.rs
@@ -1,8 +1,8 @@
 //! The events that a front is given at its start, as JSON.
 use super::feed::{Listing, News};
 use super::hex16;
+use cranesill::api::Listed;
 use cranesill_settings::Names;
-use marlport::api::Listed;
 use serde_json::Value;
 
 /// Reads `known`: the number of the last event, and the events.
--- a/front/src/protocol/member.rs
+++ b/front/src/protocol/member.rs
@@ -2,7 +2,7 @@
 use super::Unreadable;
 use crate::routing::{Fetch, MemberReply, Txn, Word};
 use crate::transport::Outgoing;
-use marlport::api::{MemberId, Note, Time};
+use cranesill::api::{MemberId, Note, Time};
 use std::rc::Rc;
 
 /// Bytes of one string at most: an object and some room.
--- a/front/src/routing/admit.rs
+++ b/front/src/routing/admit.rs
@@ -1,6 +1,6 @@
 //! Admit: a front takes on no more than its memory can hold.
 use super::*;
-use marlport::api::{Event, Request};
+use cranesill::api::{Event, Request};
 
 impl Front {
     /// Passes a request on to the decisions, or answers it at once.
--- a/front/src/routing/book.rs
+++ b/front/src/routing/book.rs
@@ -1,6 +1,6 @@
 //! Book: the end of each attempt is told to the decisions, once.
 use super::*;
-use marlport::api::{Event, Note, Outcome, Status};
+use cranesill::api::{Event, Note, Outcome, Status};
 
 impl Front {
     /// Books the end of an attempt; a second end of the same one is passed over.
--- a/front/src/routing/mod.rs
+++ b/front/src/routing/mod.rs
@@ -13,9 +13,9 @@
 
 pub use types::*;
 
+use cranesill::api::{Action, MemberId, RequestId, Span, Time};
+use cranesill::Router;
 use cranesill_settings::Deployment;
-use marlport::api::{Action, MemberId, RequestId, Span, Time};
-use marlport::Router;
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 
--- a/front/src/routing/route.rs
+++ b/front/src/routing/route.rs
@@ -1,6 +1,6 @@
 //! Route: the decisions are told what happened, and what they ask for is carried out.
 use super::*;
-use marlport::api::{Event, ListKind};
+use cranesill::api::{Event, ListKind};
 
 impl Front {
     /// Tells the decisions of an event and carries out what they ask for.
@@ -27,13 +27,13 @@
     }
 
     /// Takes over the list of members, or what has changed in it.
-    pub fn members(&mut self, now: Time, whole: bool, list: Vec<marlport::api::Entry>) {
+    pub fn members(&mut self, now: Time, whole: bool, list: Vec<cranesill::api::Entry>) {
         self.tell(now, Event::Members(if whole { ListKind::Full } else { ListKind::Delta }, list));
     }
 
     /// Takes over a purge made `at`.
     pub fn purged(&mut self, now: Time, object: Option<u64>, group: u32, at: Time) {
-        let object = object.map(marlport::api::ObjectId);
+        let object = object.map(cranesill::api::ObjectId);
         self.tell(now, Event::Purged(object, group, now.saturating_sub(at)));
     }
 
--- a/front/src/routing/send.rs
+++ b/front/src/routing/send.rs
@@ -1,6 +1,6 @@
 //! Send: an attempt that was decided becomes a fetch for a member.
 use super::*;
-use marlport::api::Fill;
+use cranesill::api::Fill;
 
 impl Front {
     /// Sends an attempt; they are numbered in the order sent.
--- a/front/src/routing/take_in.rs
+++ b/front/src/routing/take_in.rs
@@ -1,6 +1,6 @@
 //! Take in: what a client sends becomes a request of the decisions.
 use super::*;
-use marlport::api::{ObjectId, Request};
+use cranesill::api::{ObjectId, Request};
 
 /// Left of the client's time when the last answer goes out, so that it arrives in time.
 const MARGIN: Span = 10_000;
@@ -32,7 +32,7 @@
     pub fn gone(&mut self, now: Time, from: ReplyTo) {
         if let Some(id) = self.asked.get(&from).copied() {
             self.forget(id);
-            self.tell(now, marlport::api::Event::Gone(id));
+            self.tell(now, cranesill::api::Event::Gone(id));
         }
     }
 }
--- a/front/src/routing/types.rs
+++ b/front/src/routing/types.rs
@@ -1,5 +1,5 @@
 //! What the stages speak of.
-use marlport::api::{MemberId, Note, RequestId, Span, Time};
+use cranesill::api::{MemberId, Note, RequestId, Span, Time};
 use std::rc::Rc;
 
 /// The id of a request: 16 hex digits, passed on as they came.
--- a/front/src/transport/clock.rs
+++ b/front/src/transport/clock.rs
@@ -1,5 +1,5 @@
 //! The one clock of the program.
-use marlport::api::{Span, Time};
+use cranesill::api::{Span, Time};
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 /// Microseconds since the Unix epoch, read once at the start and carried on by the monotonic clock: moments
--- a/front/src/transport/deadlines.rs
+++ b/front/src/transport/deadlines.rs
@@ -1,5 +1,5 @@
 //! Moments at which something is due.
-use marlport::api::Time;
+use cranesill::api::Time;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
--- a/front/src/transport/reactor.rs
+++ b/front/src/transport/reactor.rs
@@ -1,5 +1,5 @@
 //! The poller and the sources that it watches.
-use marlport::api::Time;
+use cranesill::api::Time;
 use polling::{Event, Events, PollMode, Poller};
 use std::io;
 use std::ops::{Deref, DerefMut};
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -3,7 +3,7 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
-use marlport::api::{Class, ColdLimits, Effect, KeyGroup, Report, Settings, Span};
+use cranesill::api::{Class, ColdLimits, Effect, KeyGroup, Report, Settings, Span};
 use serde_json::Value;
 
 fn number(v: &Value, key: &str) -> f64 {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,4 @@
-//! marlport makes the decisions of a request router for caches that fill from parent caches and an origin.
+//! cranesill makes the decisions of a request router for caches that fill from parent caches and an origin.
 //!
 //! The library does no input or output and reads no clock. The embedding program feeds [`api::Event`]s to a
 //! [`Router`] and carries out the [`api::Action`]s that it answers with. All decisions are in one module,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! What the tests share: settings, a bench of events around one router, and the checker of the five rules.
 //! There is no model of servers here: tests say how each attempt ends.
 #![allow(dead_code)]
-use marlport::{api::*, Router};
+use cranesill::{api::*, Router};
 use std::collections::{BTreeMap, BTreeSet};
 
 pub const MS: u64 = 1_000;
--- a/tests/incidents.rs
+++ b/tests/incidents.rs
@@ -1,7 +1,7 @@
 //! One small case for each failure found with the bench, by the names in docs/incidents/README.md.
 mod common;
 use common::*;
-use marlport::api::*;
+use cranesill::api::*;
 
 /// Asks once for each object of the range and returns the attempts that are sent at once.
 fn crowd(stand: &mut Stand, ids: std::ops::Range<u64>) -> Vec<Sent> {
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -1,7 +1,7 @@
 //! The mechanism step by step, with the two worked examples of its source as cases.
 mod common;
 use common::*;
-use marlport::api::*;
+use cranesill::api::*;
 
 /// An object whose fills the first parent in hash order is `parent` for.
 fn object_of(parent: u64) -> u64 {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1,7 +1,7 @@
 //! The five rules as invariants under random events, and the proof that each check can fail.
 mod common;
 use common::*;
-use marlport::api::*;
+use cranesill::api::*;
 
 fn end_of(dice: &mut Dice, has_source: bool) -> (Status, Note) {
     use Status::*;
