Cut a concurrency limit only in a jam, not for each late answer

A trace in the log at each give-up showed caches of weight 217 (transfers at full pace) held to limits of 22 to 60, parents of weight 790 to 1362 to 12 to 40, the link told as 0.07 to 0.2 full, and shares of late answers of 0.00 to 0.05. Ruled out: the front itself (to the first attempt 0.13 ms in the median, CPU 0.3 of a core), connections (no attempt failed).

At fault: Router::pace cut the limit by 15 in 100 for any late answer, at most each 300 ms. With hundreds of answers a second and sizes that vary widely and are not told, one is late in each pause, and additive growth never made up for it.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -373,8 +373,9 @@
     }
 
     /// Concurrency limit (additive increase, multiplicative decrease) of a member or the link: guards against
-    /// a jam in which all answers come too late. It does harm where lateness has nothing to do with load.
-    fn pace(&mut self, spot: Spot, well: bool) {
+    /// a jam in which all answers come too late. A refusal is a `sure` sign of one; a few late answers among
+    /// many are none, since sizes vary and are not told.
+    fn pace(&mut self, spot: Spot, well: bool, sure: bool) {
         let role = if let Spot::Member(at) = spot { self.members[at].role } else { Role::Cache };
         // Where a report says how empty the link is, its limit grows the faster.
         let empty =
@@ -386,7 +387,7 @@
             if f64::from(pace.held + 1) > pace.limit / 2.0 {
                 pace.limit += growth / pace.limit;
             }
-        } else if now >= pace.cut_at + LIMIT_PAUSE {
+        } else if (sure || pace.late >= CALM_LATE) && now >= pace.cut_at + LIMIT_PAUSE {
             pace.limit = (pace.limit.min(f64::from(pace.held + 1)) * LIMIT_CUT).max(pace.least);
             pace.cut_at = now;
         }
@@ -742,7 +743,7 @@
         let full = report.and_then(|r| r.link).filter(|full| full.is_finite());
         self.link_told = full.map(|full| (full, self.now)).or(self.link_told);
         if let Some(full) = self.link_told().filter(|_| by_link) {
-            self.pace(Spot::Link, full <= LINK_FULL);
+            self.pace(Spot::Link, full <= LINK_FULL, true);
         }
         if let Some(source) = other {
             self.filling.remove(&part);
@@ -771,7 +772,7 @@
                     self.served(at, sent);
                 }
                 if in_time || filled.is_none() || self.link_told() <= Some(LINK_FULL) {
-                    self.pace(Spot::Member(filled.unwrap_or(target)), in_time);
+                    self.pace(Spot::Member(filled.unwrap_or(target)), in_time, false);
                 }
             }
             Status::Moot => {}
@@ -785,13 +786,13 @@
                 overload = !lost;
                 fault = Some((source, if lost { Failure::Lost } else { Failure::Soft }));
                 req.failed_sources.extend(vec![source; if slow { RR_RETRIES } else { 1 }]);
-                self.pace(Spot::Member(source), false);
+                self.pace(Spot::Member(source), false, true);
             }
             _ if note == Note::SourceLacks => (req.lacks, req.missed) = (true, true),
             // The parent only passed it on: no failure of its own, but what is behind it has no room.
             _ if note == Note::OriginFailed => {
                 overload = true;
-                self.pace(Spot::Member(other.unwrap_or(target)), false);
+                self.pace(Spot::Member(other.unwrap_or(target)), false, true);
             }
             _ => {
                 req.failed.push(target);
@@ -800,9 +801,9 @@
                     Status::ConnectFailed | Status::Reset => fault = Some((target, Failure::Lost)),
                     Status::Error => fault = Some((target, Failure::Error)),
                     Status::Timeout if self.members[other.unwrap_or(target)].pace.late >= CALM_LATE => {
-                        self.pace(Spot::Member(other.unwrap_or(target)), false);
+                        self.pace(Spot::Member(other.unwrap_or(target)), false, true);
                     }
-                    Status::Full if note != Note::NoPlace => self.pace(Spot::Member(target), false),
+                    Status::Full if note != Note::NoPlace => self.pace(Spot::Member(target), false, true),
                     _ => {}
                 }
             }
--- a/tests/incidents.rs
+++ b/tests/incidents.rs
@@ -453,3 +453,20 @@
     assert!(stand.sent.iter().any(|a| a.at > now && a.source.is_some()));
     assert_eq!(stand.checker.broken, Vec::<String>::new());
 }
+
+#[test]
+fn a_few_late_answers_among_many_cut_no_limit() {
+    // A calm day on sockets: sizes vary widely and are not told, so some answers are always late; with
+    // hundreds of answers a second each pause had one, and every limit shrank to a tenth of the full pace.
+    let mut stand = Stand::new(settings(), usual());
+    for round in 1..=20 {
+        let sent = crowd(&mut stand, round * 100..round * 100 + 30);
+        stand.advance(50 * MS);
+        for attempt in &sent[1..] {
+            stand.end(attempt, Status::Ok, Note::Hit, 0);
+        }
+        stand.advance(2 * S);
+        stand.end(&sent[0], Status::Ok, Note::Hit, 0);
+    }
+    assert_eq!(crowd(&mut stand, 5_000..5_120).len(), 120);
+}
