Keep half its full pace as a parent's limit, and cut at once only for a refusal

A trace at each give-up: 11,907 of 11,955 waited for room at a parent, held to a limit of 50 to 87 with a weight of 1362 and 3 routers, shares of late answers 0.00 to 0.06.

At fault: Router::pace. One lost source cut a parent's limit to what this router held, and growth of about one place a round took minutes to come back. Now only a refusal (or a full link) is a sure sign; a parent's limit keeps at least half of this router's share of the full pace that the list tells, and grows by a twentieth of that a round. Soft failures of others that did not count now tell that they do no better (peers_fine), or, with more fills out, one parent was condemned among many that refuse alike.

Ruled out as a cause: answers queued behind large ones.

--- a/front/src/program/members.rs
+++ b/front/src/program/members.rs
@@ -58,6 +58,8 @@
     links_most: usize,
     streams: usize,
     idle: Span,
+    /// Lines for the log.
+    pub notes: Vec<String>,
 }
 
 impl Members {
@@ -71,6 +73,7 @@
             links_most,
             streams,
             idle: (idle as f64 * IDLE_SHARE) as Span,
+            notes: Vec::new(),
         }
     }
 
@@ -158,7 +161,7 @@
         // Guards the rule that no two attempts of a request are out: a command that can't be written yet
         // gives nothing up, the end of the connection does.
         if self.links.get(&key).is_some_and(|link| !link.stream.flushed()) {
-            self.fail(key, ends);
+            self.fail(key, "blocked", ends);
         }
     }
 
@@ -177,7 +180,7 @@
     /// A connection that is still not up has failed.
     pub fn undialed(&mut self, key: usize, ends: &mut Ends) {
         if self.links.get(&key).is_some_and(|link| !link.up) {
-            self.fail(key, ends);
+            self.fail(key, "not up in time", ends);
         }
     }
 
@@ -187,15 +190,15 @@
         if !link.up {
             match link.stream.connected() {
                 Ok(up) => link.up = up,
-                Err(_) => return self.fail(key, ends),
+                Err(e) => return self.fail(key, &e.to_string(), ends),
             }
             if !link.up {
                 return;
             }
         }
         self.flush(now, key, ends);
-        if readable && self.read(now, key, ends).is_err() {
-            self.fail(key, ends);
+        if let Some(e) = readable.then(|| self.read(now, key, ends).err()).flatten() {
+            self.fail(key, &e.to_string(), ends);
         }
     }
 
@@ -233,14 +236,19 @@
         let done = |tag: Option<Txn>| {
             tag.and_then(|txn| open.get_mut(&txn)).into_iter().for_each(|sent| sent.written = true);
         };
-        if link.stream.flush(done).and_then(|()| link.stream.rewatch(true)).is_err() {
-            self.fail(key, ends);
+        if let Err(e) = link.stream.flush(done).and_then(|()| link.stream.rewatch(true)) {
+            self.fail(key, &e.to_string(), ends);
         }
     }
 
     /// Gives a connection up with all that is open on it.
-    fn fail(&mut self, key: usize, ends: &mut Ends) {
+    fn fail(&mut self, key: usize, why: &str, ends: &mut Ends) {
         let Some(link) = self.links.remove(&key) else { return };
+        if !link.open.is_empty() {
+            let (name, all) = (member::name_of(link.member), link.open.len());
+            let state = if link.up { "broke" } else { "failed" };
+            self.notes.push(format!("connection to {name} {state}, {why}, with {all} attempts"));
+        }
         self.of.get_mut(&link.member).into_iter().for_each(|keys| keys.retain(|k| *k != key));
         let mut open: Vec<_> = link.open.into_values().collect();
         open.sort_unstable_by_key(|sent| sent.attempt);
@@ -254,7 +262,7 @@
     pub fn sweep(&mut self, now: Time) {
         let over = |l: &Link| l.open.is_empty() && (l.retired || now > l.idle_since + self.idle);
         let over: Vec<_> = self.links.iter().filter(|(_, l)| over(l)).map(|(key, _)| *key).collect();
-        over.into_iter().for_each(|key| self.fail(key, &mut Vec::new()));
+        over.into_iter().for_each(|key| self.fail(key, "idle", &mut Vec::new()));
         self.of.retain(|_, keys| !keys.is_empty());
     }
 }
--- a/front/src/program/serve.rs
+++ b/front/src/program/serve.rs
@@ -250,6 +250,7 @@
             for (attempt, end) in std::mem::take(&mut ends) {
                 self.front.ended(now, attempt, end);
             }
+            std::mem::take(&mut self.members.notes).iter().for_each(|line| self.log.line(now, line));
             let Some(command) = self.front.command() else { break };
             match command {
                 Command::Send(attempt, to, fetch) => {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -40,9 +40,11 @@
 /// router always may, unless its share of the full pace is less.
 const LIMIT_START: f64 = 3.0;
 const LIMIT_LEAST: f64 = 2.0;
-/// Places by which all limits together grow at most in a round of answers in time; the factor by which late
-/// ones cut a limit, at most once in the pause: one jam shows in many answers.
+/// Share of its full pace that a parent is always good for; places, or share of their least, by which limits
+/// grow in a round of answers in time; the factor by which a jam cuts one, at most once in the pause.
+const LIMIT_FLOOR: f64 = 0.5;
 const LIMIT_GROWTH: f64 = 4.0;
+const LIMIT_CATCH_UP: f64 = 0.05;
 const LIMIT_CUT: f64 = 0.85;
 const LIMIT_PAUSE: Span = 300 * MS;
 /// Size of the origin, which is not told, over that of all parents; its share of late answers if it is slow.
@@ -88,6 +90,7 @@
     /// Went DOWN because no connection was made: it will come back cold.
     lost: bool,
     last_answer: Time,
+    last_failure: Time,
 }
 
 impl Health {
@@ -225,7 +228,8 @@
             // New, or cold and empty again: its old health says nothing.
             let share = entry.weight / f64::from(self.routers(role));
             let held = known.map_or(0, |at| self.members[at].pace.held);
-            let (limit, least, service) = (LIMIT_START * share, LIMIT_LEAST.min(share), WORK_UNKNOWN);
+            let (limit, service) = (LIMIT_START * share, WORK_UNKNOWN);
+            let least = if role == Role::Parent { LIMIT_FLOOR * share } else { LIMIT_LEAST.min(share) };
             let member = Member {
                 role,
                 cold_since: entry.started,
@@ -250,9 +254,8 @@
         }
         let told = self.settings.link_kb_per_s / self.settings.client_kb_per_s;
         let share = if told > 0.0 { told } else { behind } / f64::from(self.routers(Role::Cache));
-        let limit = if self.link_told.is_none() { LIMIT_START * share } else { self.link.limit };
-        let least = if told > 0.0 { share } else { LIMIT_LEAST.min(share) };
-        (self.link.limit, self.link.least) = (limit, least);
+        self.link.limit = if self.link_told.is_none() { LIMIT_START * share } else { self.link.limit };
+        self.link.least = if told > 0.0 { share } else { LIMIT_LEAST.min(share) };
         for at in known {
             self.release(Spot::Member(at));
         }
@@ -372,9 +375,8 @@
         self.link_told.filter(|told| self.now < told.1 + REPORT_FRESH).map(|told| told.0)
     }
 
-    /// Concurrency limit (additive increase, multiplicative decrease) of a member or the link: guards against
-    /// a jam in which all answers come too late. A refusal is a `sure` sign of one; a few late answers among
-    /// many are none, since sizes vary and are not told.
+    /// Concurrency limit of a member or the link: guards against a jam in which all answers come too late. A
+    /// refusal is a `sure` sign of one; a few late answers are none, since sizes vary and are not told.
     fn pace(&mut self, spot: Spot, well: bool, sure: bool) {
         let role = if let Spot::Member(at) = spot { self.members[at].role } else { Role::Cache };
         // Where a report says how empty the link is, its limit grows the faster.
@@ -385,7 +387,7 @@
         pace.late += (f64::from(u8::from(!well)) - pace.late) * EWMA;
         if well {
             if f64::from(pace.held + 1) > pace.limit / 2.0 {
-                pace.limit += growth / pace.limit;
+                pace.limit += growth.max(LIMIT_CATCH_UP * pace.least) / pace.limit;
             }
         } else if (sure || pace.late >= CALM_LATE) && now >= pace.cut_at + LIMIT_PAUSE {
             pace.limit = (pace.limit.min(f64::from(pace.held + 1)) * LIMIT_CUT).max(pace.least);
@@ -486,8 +488,7 @@
     }
 
     fn wake(&mut self, wait: Span, due: Due) {
-        let token = self.timers.set(due);
-        self.out.push(Action::Timer(wait, token));
+        self.out.push(Action::Timer(wait, self.timers.set(due)));
     }
 
     /// Lets requests that wait for something go while it is to be had, or never will be: first what earns
@@ -643,8 +644,7 @@
     /// within budget. In a jam that would only add to it.
     fn overdue(&mut self, id: RequestId, number: usize) {
         let Some(req) = self.pending.get(&id).filter(|r| !r.done) else { return };
-        let out = req.attempts.get(number).filter(|a| a.live && !a.cancelled);
-        let Some(attempt) = out else { return };
+        let Some(attempt) = req.attempts.get(number).filter(|a| a.live && !a.cancelled) else { return };
         let (sent, target, source) = (attempt.sent, attempt.target, attempt.other());
         let suspect = self.blame(target, source, sent);
         let Some(mut req) = self.pending.remove(&id) else { return };
@@ -684,9 +684,10 @@
 
     /// Whether most other members of the kind that were heard from since `sent` do well. Only then a soft
     /// failure says something of this one: a trouble that hits all alike (a slow origin, a full link, an
-    /// overload) must not take them DOWN, and among many members one that does well is always found.
+    /// overload) must not take them DOWN, and one of many does well. Failures that did not count tell too.
     fn peers_fine(&self, at: usize, sent: Time) -> bool {
-        let few = |h: &Health| h.failures * 2 <= MAX_RETRIES && h.state(self.now) == State::Up;
+        let well = |h: &Health| h.down_since.is_none() && h.last_failure <= h.last_answer;
+        let few = |h: &Health| well(h) && h.failures * 2 <= MAX_RETRIES;
         let others = self.members.ready(self.members[at].role).iter().filter(|i| **i != at);
         let heard = others.map(|i| &self.members[*i].health).filter(|h| !few(h) || h.last_answer >= sent);
         let (fine, heard) = heard.fold((0, 0), |(fine, all), h| (fine + u32::from(few(h)), all + 1));
@@ -695,6 +696,7 @@
 
     /// Counts a failure; when a cache goes DOWN by it, safe requests that wait for it are moved.
     fn failed(&mut self, at: usize, sent: Time, failure: Failure) {
+        self.members[at].health.last_failure = self.now;
         if failure == Failure::Soft && !self.peers_fine(at, sent) {
             return;
         }
@@ -786,13 +788,13 @@
                 overload = !lost;
                 fault = Some((source, if lost { Failure::Lost } else { Failure::Soft }));
                 req.failed_sources.extend(vec![source; if slow { RR_RETRIES } else { 1 }]);
-                self.pace(Spot::Member(source), false, true);
+                self.pace(Spot::Member(source), false, note == Note::SourceRefused);
             }
             _ if note == Note::SourceLacks => (req.lacks, req.missed) = (true, true),
             // The parent only passed it on: no failure of its own, but what is behind it has no room.
             _ if note == Note::OriginFailed => {
                 overload = true;
-                self.pace(Spot::Member(other.unwrap_or(target)), false, true);
+                self.pace(Spot::Member(other.unwrap_or(target)), false, false);
             }
             _ => {
                 req.failed.push(target);
@@ -800,9 +802,7 @@
                 match status {
                     Status::ConnectFailed | Status::Reset => fault = Some((target, Failure::Lost)),
                     Status::Error => fault = Some((target, Failure::Error)),
-                    Status::Timeout if self.members[other.unwrap_or(target)].pace.late >= CALM_LATE => {
-                        self.pace(Spot::Member(other.unwrap_or(target)), false, true);
-                    }
+                    Status::Timeout => self.pace(Spot::Member(other.unwrap_or(target)), false, false),
                     Status::Full if note != Note::NoPlace => self.pace(Spot::Member(target), false, true),
                     _ => {}
                 }
@@ -814,9 +814,9 @@
         if held && !live && !over {
             // Writes are few and worth most: they outwait a refusal, and the retry budget is not for them.
             let until = self.now + (req.class.aim as f64 * WRITE_PAUSE) as Span;
-            req.hold_until = Some(until.min(req.deadline.saturating_sub(LEFT_LEAST)));
-            let wait = req.hold_until.map_or(0, |t| t.saturating_sub(self.now));
-            self.wake(wait, Due::Wait(id));
+            let until = until.min(req.deadline.saturating_sub(LEFT_LEAST));
+            req.hold_until = Some(until);
+            self.wake(until.saturating_sub(self.now), Due::Wait(id));
         }
         self.pending.insert(id, req);
         if status == Status::Timeout {
--- a/tests/incidents.rs
+++ b/tests/incidents.rs
@@ -470,3 +470,24 @@
     }
     assert_eq!(crowd(&mut stand, 5_000..5_120).len(), 120);
 }
+
+#[test]
+fn a_source_that_is_lost_now_and_then_keeps_the_room_of_its_parent() {
+    // A calm day on sockets: one fill in a thousand broke off, each cut the parent's limit to what it held,
+    // and requests waited for room at parents that had all of it.
+    let mut stand = Stand::new(settings(), usual());
+    for round in 1..=20 {
+        let sent = crowd(&mut stand, round * 100..round * 100 + 30);
+        stand.advance(50 * MS);
+        for attempt in &sent[1..] {
+            stand.end(attempt, Status::Ok, Note::Filled, 10 * MS);
+        }
+        for again in stand.end(&sent[0], Status::Error, Note::SourceLost, 10 * MS) {
+            stand.end(&again, Status::Ok, Note::Filled, 10 * MS);
+        }
+        stand.advance(S);
+    }
+    let fills = crowd(&mut stand, 5_000..5_100).iter().filter(|s| s.source != Some(s.target)).count();
+    assert!(fills >= 40, "{fills} fills at once");
+    assert_eq!(stand.log, Vec::<String>::new());
+}
