Tell the front's story over loopback sockets, one for each failure that it must stand

Eleven stories start the program with a configuration and script a client, caches, the origin and the feed: relays, writes that may or can't have run, broken and unreadable connections, late answers, silence, bad frames, the feed over broken connections, SIGTERM, the cap of connections and bad configurations.

Found by them: where a client's time was up, the backstop answered 'failed' before the decisions could refuse with a time to come back, since both were due at the same moment (Front::admit). The backstop now comes 2 ms later, inside the margin that is left for the client. Refusals for lack of room in the front itself are logged.

--- a/front/src/program/serve.rs
+++ b/front/src/program/serve.rs
@@ -82,6 +82,8 @@
             signal,
         };
         let now = server.clock.now();
+        let at = server.listener.local_addr().map_err(failed("listener"))?;
+        server.log.line(now, &format!("{} listens on {at}", server.config.name));
         known.into_iter().for_each(|news| server.news(now, news));
         server.deadlines.add(now, Due::Feed);
         server.deadlines.add(now + SWEEP, Due::Sweep);
--- a/front/src/routing/admit.rs
+++ b/front/src/routing/admit.rs
@@ -2,6 +2,9 @@
 use super::*;
 use cranesill::api::{Event, Request};
 
+/// Time that the decisions have for an answer once the client's time is up; it is part of the margin that take in leaves.
+const GRACE: Span = 2_000;
+
 impl Front {
     /// Passes a request on to the decisions, or answers it at once.
     pub(super) fn admit(&mut self, now: Time, open: Open, request: Request) {
@@ -13,12 +16,15 @@
         // Guards the memory limit: each request may come to hold an answer of full size.
         let room = self.room.bytes.saturating_sub(self.held) / ANSWER_MOST;
         if self.open.len() >= self.room.open.min(room) {
+            let line = format!("no room: {} requests open, {} bytes held", self.open.len(), self.held);
+            self.commands.push_back(Command::Log(line));
             return self.answer(from, Answer::Refused(self.later()));
         }
         let id = request.id;
         self.asked.insert(from, id);
         self.by_txn.insert(txn, id);
-        self.commands.push_back(Command::Wake(open.deadline, Wake::Request(id)));
+        // The decisions get to answer first, when the time of an attempt is up at the same moment.
+        self.commands.push_back(Command::Wake(open.deadline + GRACE, Wake::Request(id)));
         self.open.insert(id, open);
         self.tell(now, Event::Request(request));
     }
--- /dev/null
+++ b/front/tests/common/mod.rs
@@ -0,0 +1,193 @@
+//! A front as a process of its own, and the peers that a story scripts: blocking sockets on loopback.
+use serde_json::{json, Value};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{channel, Receiver};
+use std::time::Duration;
+
+/// No story waits for longer than this: it is a guard against hanging, not a measure.
+const GUARD: Duration = Duration::from_secs(20);
+
+pub const CACHES: [u32; 2] = [0x11, 0x12];
+
+fn guarded(stream: TcpStream) -> TcpStream {
+    stream.set_read_timeout(Some(GUARD)).unwrap();
+    stream
+}
+
+/// The members, the feed and the front.
+pub struct Stage {
+    pub caches: [TcpListener; 2],
+    pub origin: TcpListener,
+    pub feed: TcpListener,
+    pub config: Value,
+    pub front: Child,
+    pub address: SocketAddr,
+    _log: Receiver<String>,
+}
+
+fn bound() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").unwrap()
+}
+
+fn member(id: u32, at: &TcpListener, zone: &str, kind: &str) -> Value {
+    json!({"instanceId": format!("s-{id:08x}"), "hostPort": at.local_addr().unwrap().to_string(), "zone": zone,
+           "machineType": kind, "cell": 0, "lifecycle": "in_service", "weight": 8, "startedAtMs": 0})
+}
+
+impl Stage {
+    /// Two caches and an origin: what a cache lacks comes from the origin.
+    pub fn new(change: impl Fn(&mut Value)) -> Self {
+        let (caches, origin, feed) = ([bound(), bound()], bound(), bound());
+        let mut config: Value = serde_json::from_str(include_str!("../../examples/config.json")).unwrap();
+        config["listen"] = "127.0.0.1:0".into();
+        config["feed"] = feed.local_addr().unwrap().to_string().into();
+        config["known"]["events"][0]["members"]["instances"] = json!([
+            member(CACHES[0], &caches[0], "edge-1", "small-box"),
+            member(CACHES[1], &caches[1], "edge-1", "small-box"),
+            member(0x31, &origin, "east-hub", "origin")
+        ]);
+        change(&mut config);
+        let (mut front, lines) = start(&config);
+        let log = follow(&mut front, lines);
+        let address = until(&log, "listens on").rsplit(' ').next().unwrap().parse().unwrap();
+        Stage { caches, origin, feed, config, front, address, _log: log }
+    }
+
+    pub fn client(&self) -> Client {
+        Client(guarded(TcpStream::connect(self.address).unwrap()))
+    }
+}
+
+impl Drop for Stage {
+    fn drop(&mut self) {
+        let _ = self.front.kill();
+        let _ = self.front.wait();
+    }
+}
+
+/// Starts `cranesill serve` with a configuration.
+pub fn start(config: &Value) -> (Child, tempfile::TempPath) {
+    let mut file = tempfile::NamedTempFile::new().unwrap();
+    file.write_all(config.to_string().as_bytes()).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_cranesill"));
+    command.arg("serve").env("RELAY_CONFIG", file.path()).stderr(Stdio::piped());
+    (command.spawn().unwrap(), file.into_temp_path())
+}
+
+/// Lines of the log as they come.
+fn follow(front: &mut Child, file: tempfile::TempPath) -> Receiver<String> {
+    let (lines, log) = channel();
+    let errors = BufReader::new(front.stderr.take().unwrap());
+    std::thread::spawn(move || {
+        let _file = file;
+        errors.lines().map_while(Result::ok).for_each(|line| drop(lines.send(line)));
+    });
+    log
+}
+
+/// Waits for a line of the log.
+pub fn until(log: &Receiver<String>, text: &str) -> String {
+    loop {
+        let line = log.recv_timeout(GUARD).unwrap_or_else(|_| panic!("no line with {text}"));
+        if line.contains(text) {
+            return line;
+        }
+    }
+}
+
+/// A client's connection.
+pub struct Client(pub TcpStream);
+
+impl Client {
+    pub fn send(&mut self, kind: u8, stream: u32, payload: &[u8]) {
+        let length = (5 + payload.len()) as u32;
+        let head = [&length.to_be_bytes()[..], &[kind], &stream.to_be_bytes()].concat();
+        self.0.write_all(&[&head, payload].concat()).unwrap();
+    }
+
+    /// Asks on a stream; the id of the request is the stream's number.
+    pub fn ask(&mut self, stream: u32, class: &str, limit: &str, more: &[(&str, &str)], body: &[u8]) {
+        let txn = format!("{stream:016x}");
+        let mut fields = vec![("verb", class), ("txn", &txn), ("limit", limit), ("item", "7f3a9c21e0b4d655")];
+        fields.extend(more);
+        let mut payload = vec![fields.len() as u8];
+        for (name, value) in fields {
+            payload.push(name.len() as u8);
+            payload.extend(name.bytes());
+            payload.extend((value.len() as u16).to_be_bytes());
+            payload.extend(value.bytes());
+        }
+        self.send(10, stream, &[&payload, body].concat());
+    }
+
+    /// The next frame in words; `None` at the end of the connection.
+    pub fn hear(&mut self) -> Option<String> {
+        let mut length = [0; 4];
+        self.0.read_exact(&mut length).ok()?;
+        let mut frame = vec![0; u32::from_be_bytes(length) as usize];
+        self.0.read_exact(&mut frame).unwrap();
+        let stream = u32::from_be_bytes(frame[1..5].try_into().unwrap());
+        Some(format!("type {} stream {stream}: {}", frame[0], frame[5..].escape_ascii()))
+    }
+}
+
+/// A connection of the front to a member.
+pub struct Link(pub BufReader<TcpStream>);
+
+/// Takes the front's next connection.
+pub fn link(at: &TcpListener) -> Link {
+    Link(BufReader::new(guarded(at.accept().unwrap().0)))
+}
+
+impl Link {
+    fn line(&mut self) -> Option<usize> {
+        let mut line = String::new();
+        self.0.read_line(&mut line).ok().filter(|n| *n > 0)?;
+        line[1..].trim_end().parse().ok()
+    }
+
+    /// The next command: its words, with the time left taken out of the fields.
+    pub fn hear(&mut self) -> Option<Vec<String>> {
+        let count = self.line()?;
+        let mut words = Vec::new();
+        for _ in 0..count {
+            let mut word = vec![0; self.line()? + 2];
+            self.0.read_exact(&mut word).unwrap();
+            word.truncate(word.len() - 2);
+            let word = String::from_utf8(word).unwrap();
+            let timeless = word.split(',').filter(|f| !f.starts_with("limit="));
+            words.push(timeless.collect::<Vec<_>>().join(","));
+        }
+        Some(words)
+    }
+
+    /// Answers a command.
+    pub fn say(&mut self, id: &str, word: &str, fields: &str, body: &str) {
+        let parts = [id, word, fields, body].map(|p| format!("${}\r\n{p}\r\n", p.len()));
+        self.0.get_mut().write_all(format!("*4\r\n{}", parts.concat()).as_bytes()).unwrap();
+    }
+}
+
+/// The front's next connection to the feed, and the number of the event from which it goes on.
+pub fn feed(at: &TcpListener) -> (TcpStream, u64) {
+    let mut stream = guarded(at.accept().unwrap().0);
+    let mut last = [0; 8];
+    stream.read_exact(&mut last).unwrap();
+    (stream, u64::from_be_bytes(last))
+}
+
+/// One event of the feed.
+pub fn event(number: u64, kind: u8, payload: &[u8]) -> Vec<u8> {
+    let length = (9 + payload.len()) as u32;
+    [&length.to_be_bytes()[..], &number.to_be_bytes(), &[kind], payload].concat()
+}
+
+/// A record of the feed's list.
+pub fn record(id: u32, at: SocketAddr, state: u8) -> Vec<u8> {
+    let SocketAddr::V4(at) = at else { unreachable!() };
+    let place = [state, 1, 0, 0, 0];
+    let rest = [&place[..], &8000u32.to_be_bytes(), &0u64.to_be_bytes()].concat();
+    [&id.to_be_bytes()[..], &at.ip().octets(), &at.port().to_be_bytes(), &rest].concat()
+}
--- /dev/null
+++ b/front/tests/stories.rs
@@ -0,0 +1,214 @@
+//! Stories over loopback: one for each failure that the front must stand.
+mod common;
+use common::*;
+use std::io::Write;
+use std::net::TcpListener;
+
+/// The cache that gets the story's object, and its first connection: the one that the front turns to.
+fn home(stage: &Stage) -> (usize, Link) {
+    stage.caches.iter().for_each(|c| c.set_nonblocking(true).unwrap());
+    loop {
+        for (i, cache) in stage.caches.iter().enumerate() {
+            if let Ok((stream, _)) = cache.accept() {
+                stage.caches.iter().for_each(|c| c.set_nonblocking(false).unwrap());
+                stream.set_nonblocking(false).unwrap();
+                return (i, Link(std::io::BufReader::new(stream)));
+            }
+        }
+        std::thread::yield_now();
+    }
+}
+
+#[test]
+fn a_request_goes_to_a_cache_and_its_answer_back_to_the_client() {
+    let stage = Stage::new(|_| {});
+    let mut client = stage.client();
+    let mut told = Vec::new();
+    client.send(20, 1, &[0]);
+    told.extend(client.hear());
+    client.ask(2, "page-bits", "2000", &[("part", "3"), ("group", "17")], b"");
+    let (_, mut cache) = home(&stage);
+    let fetch = cache.hear().unwrap();
+    told.push(fetch.join(" "));
+    cache.say(&fetch[1], "HIT", "ver=ab,tell=local,meter=load_share:0.5;concurrent:3;x1:0.1", "bytes");
+    told.extend(client.hear());
+    // The copy that the client holds is the one.
+    client.ask(3, "page-bits", "2000", &[("part", "3"), ("have", "4be0c1927d55a6f3")], b"");
+    let fetch = cache.hear().unwrap();
+    told.push(fetch.join(" "));
+    cache.say(&fetch[1], "VALID", "ver=4be0c1927d55a6f3,tell=local", "");
+    told.extend(client.hear());
+    insta::assert_debug_snapshot!(told);
+}
+
+#[test]
+fn a_write_that_may_have_run_is_not_sent_again_and_one_that_can_not_is() {
+    let stage = Stage::new(|_| {});
+    let mut client = stage.client();
+    client.ask(1, "book-car", "3000", &[], b"keys");
+    let mut origin = link(&stage.origin);
+    let mut told = vec![origin.hear().unwrap().join(" ")];
+    // It came whole, then the connection broke: it may have run.
+    drop(origin);
+    told.extend(client.hear());
+    // Turned away unseen: it goes out again.
+    client.ask(2, "book-car", "3000", &[], b"keys");
+    let mut origin = link(&stage.origin);
+    let fetch = origin.hear().unwrap();
+    origin.say(&fetch[1], "SHED", "-", "");
+    told.push(origin.hear().unwrap().join(" "));
+    origin.say(&fetch[1], "HIT", "-", "booked");
+    told.extend(client.hear());
+    insta::assert_debug_snapshot!(told);
+}
+
+#[test]
+fn where_nobody_listens_a_write_is_refused_with_a_time_to_come_back() {
+    let stage = Stage::new(|config| {
+        let gone = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string();
+        config["known"]["events"][0]["members"]["instances"][2]["hostPort"] = gone.into();
+    });
+    let mut client = stage.client();
+    client.ask(1, "book-car", "3000", &[], b"keys");
+    insta::assert_debug_snapshot!(client.hear());
+}
+
+#[test]
+fn a_broken_connection_moves_a_read_and_ends_nothing_else() {
+    let stage = Stage::new(|_| {});
+    let mut client = stage.client();
+    client.ask(1, "page-bits", "5000", &[], b"");
+    let (at, mut cache) = home(&stage);
+    cache.hear().unwrap();
+    // What can't be read ends this connection alone.
+    cache.0.get_mut().write_all(b"+OK\r\n").unwrap();
+    let mut other = link(&stage.caches[1 - at]);
+    let fetch = other.hear().unwrap();
+    other.say(&fetch[1], "HIT", "tell=pulled", "from the other");
+    assert!(client.hear().unwrap().ends_with("from the other"));
+}
+
+#[test]
+fn a_late_answer_to_what_was_given_up_is_dropped() {
+    let stage = Stage::new(|_| {});
+    let mut client = stage.client();
+    client.ask(1, "page-bits", "5000", &[], b"");
+    let (_, mut cache) = home(&stage);
+    let fetch = cache.hear().unwrap();
+    client.send(12, 1, b"");
+    assert_eq!(cache.hear().unwrap(), ["abort", &fetch[1]]);
+    cache.say(&fetch[1], "HIT", "-", "too late");
+    // The same id again: its answer must not come over the connection that may still bring the old one.
+    let mut second = stage.client();
+    second.ask(1, "page-bits", "5000", &[], b"");
+    let (_, mut fresh) = home(&stage);
+    let fetch = fresh.hear().unwrap();
+    fresh.say(&fetch[1], "HIT", "-", "in time");
+    assert!(second.hear().unwrap().ends_with("in time"));
+    // And nothing came to the first.
+    client.send(20, 9, &[0]);
+    assert!(client.hear().unwrap().starts_with("type 21 stream 9"));
+}
+
+#[test]
+fn a_silent_cache_costs_its_request_no_more_than_the_clients_time() {
+    let stage = Stage::new(|_| {});
+    let mut client = stage.client();
+    client.ask(1, "page-bits", "300", &[], b"");
+    let (_, mut cache) = home(&stage);
+    let fetch = cache.hear().unwrap();
+    assert!(client.hear().unwrap().starts_with("type 11 stream 1: \\x02"));
+    assert_eq!(cache.hear().unwrap(), ["abort", &fetch[1]]);
+}
+
+#[test]
+fn unreadable_frames_end_one_connection_and_bad_fields_one_request() {
+    let stage = Stage::new(|_| {});
+    let mut told = Vec::new();
+    let mut client = stage.client();
+    client.ask(1, "no-such-class", "300", &[], b"");
+    told.extend(client.hear());
+    client.ask(2, "page-bits", "soon", &[], b"");
+    told.extend(client.hear());
+    client.send(99, 0, b"");
+    told.push(format!("{:?} then {:?}", client.hear(), client.hear()));
+    let mut other = stage.client();
+    other.0.write_all(&[0xff; 8]).unwrap();
+    told.push(format!("{:?} then {:?}", other.hear(), other.hear()));
+    let mut third = stage.client();
+    third.send(20, 1, &[0]);
+    told.extend(third.hear());
+    insta::assert_debug_snapshot!(told);
+}
+
+#[test]
+fn the_feed_is_followed_from_the_last_event_over_broken_connections() {
+    let stage = Stage::new(|_| {});
+    let (mut stream, last) = feed(&stage.feed);
+    assert_eq!(last, 1);
+    // One cache drains, then the other way round; a repeat of the first event changes nothing.
+    let [a, b] = [0, 1].map(|i| (CACHES[i], stage.caches[i].local_addr().unwrap()));
+    let first = event(2, 2, &record(a.0, a.1, 1));
+    let second = event(3, 2, &[record(a.0, a.1, 0), record(b.0, b.1, 1)].concat());
+    stream.write_all(&[&first[..], &second, &first, &[0, 0, 0, 1]].concat()).unwrap();
+    // The last frame can't be read: the front connects anew and goes on from what it holds.
+    let (mut stream, last) = feed(&stage.feed);
+    assert_eq!(last, 3);
+    stream.write_all(&event(3, 0, b"")).unwrap();
+    let mut client = stage.client();
+    for id in 1..=4 {
+        client.ask(id, "page-bits", "5000", &[("part", &id.to_string())], b"");
+        let mut cache = link(&stage.caches[0]);
+        let fetch = cache.hear().unwrap();
+        cache.say(&fetch[1], "HIT", "-", "");
+        client.hear().unwrap();
+        drop(cache);
+    }
+}
+
+#[test]
+fn at_sigterm_what_is_taken_is_answered_and_new_connections_are_told() {
+    let mut stage = Stage::new(|_| {});
+    let mut client = stage.client();
+    client.ask(1, "page-bits", "5000", &[], b"");
+    let (at, mut cache) = home(&stage);
+    let fetch = cache.hear().unwrap();
+    let pid = stage.front.id().to_string();
+    assert!(std::process::Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+    let mut told = vec![client.hear()];
+    let mut late = stage.client();
+    told.push(late.hear());
+    late.ask(2, "page-bits", "5000", &[], b"");
+    let mut second = link(&stage.caches[at]);
+    let new = second.hear().unwrap();
+    second.say(&new[1], "HIT", "-", "new");
+    told.push(late.hear());
+    cache.say(&fetch[1], "HIT", "-", "old");
+    told.push(client.hear());
+    assert_eq!(stage.front.wait().unwrap().code(), Some(0));
+    insta::assert_debug_snapshot!(told);
+}
+
+#[test]
+fn at_the_cap_an_idle_connection_makes_room_for_a_new_one() {
+    let stage = Stage::new(|config| config["limits"]["sockets"] = 64.into());
+    let mut clients: Vec<_> = (0..80).map(|_| stage.client()).collect();
+    let last = clients.last_mut().unwrap();
+    last.send(20, 1, &[0]);
+    assert!(last.hear().unwrap().starts_with("type 21"));
+    assert_eq!(clients[0].hear(), None, "the one that was idle for longest is closed");
+}
+
+#[test]
+fn a_bad_configuration_ends_the_start_with_one_line() {
+    let stage = Stage::new(|_| {});
+    let told = [("listen", "nowhere"), ("known", "none"), ("feed", "127.0.0.1")].map(|(key, value)| {
+        let mut config = stage.config.clone();
+        config[key] = value.into();
+        let (front, file) = start(&config);
+        let done = front.wait_with_output().unwrap();
+        assert_eq!(done.status.code(), Some(1));
+        String::from_utf8(done.stderr).unwrap().replace(&file.display().to_string(), "FILE")
+    });
+    insta::assert_debug_snapshot!(told);
+}
