--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+# What a newcomer needs; .ci/run is what a landing must pass.
+CONFIG ?= front/examples/config.json
+
+.PHONY: build test lint run check toy ci
+
+build:
+	cargo build --release --locked
+
+test:
+	cargo test --workspace --locked
+
+lint:
+	cargo fmt --all --check
+	cargo clippy --workspace --all-targets --locked -- -D warnings
+
+run: build
+	target/release/cranesill serve $(CONFIG)
+
+check: build
+	target/release/cranesill check $(CONFIG)
+
+toy:
+	cargo run --release --locked --example toy
+
+ci:
+	.ci/run
--- a/front/src/program/clients.rs
+++ b/front/src/program/clients.rs
@@ -30,7 +30,7 @@
     stream: Stream<()>,
     /// Streams that are owed an answer.
     open: HashSet<u32>,
-    /// Nothing more is read: it is closed once all is answered and written.
+    /// What comes is passed over: it is closed once all is answered and written.
     closing: bool,
     moved: Time,
 }
@@ -42,6 +42,7 @@
     /// No new requests are wanted.
     pub leaving: bool,
     held: usize,
+    lost: Vec<Heard>,
 }
 
 impl Clients {
@@ -93,7 +94,7 @@
     pub fn read(&mut self, now: Time, key: usize) -> Vec<Heard> {
         let mut heard = Vec::new();
         for _ in 0..READS_MOST {
-            let Some(client) = self.all.get_mut(&key).filter(|c| !c.closing) else { break };
+            let Some(client) = self.all.get_mut(&key) else { break };
             match client.stream.fill() {
                 Ok(Some(n)) if n > 0 => {}
                 Ok(None) => break,
@@ -102,6 +103,12 @@
                     break;
                 }
             }
+            if client.closing {
+                // Dropped unread: input left in the system's buffer would make it reset the connection, and
+                // with it answers that are still on their way.
+                client.stream.consume(client.stream.input().len());
+                continue;
+            }
             client.moved = now;
             client.hear(key, !self.leaving, &mut heard);
             self.flush(now, key);
@@ -122,20 +129,25 @@
     pub fn flush(&mut self, now: Time, key: usize) {
         let Some(client) = self.all.get_mut(&key) else { return };
         let before = client.stream.held();
-        let mut written = client.stream.flush(|()| {});
+        let written = client.stream.flush(|()| {});
         if client.stream.held() < before || client.stream.flushed() {
             client.moved = now;
         }
         client.stream.count(&mut self.held);
         if client.closing && client.open.is_empty() && client.stream.flushed() {
+            // All is said: the client closes it now, or the next sweep does.
             client.stream.finish();
-            written = Err(io::ErrorKind::ConnectionAborted.into());
-        }
-        if written.and_then(|()| client.stream.rewatch(!client.closing)).is_err() {
-            // Whoever waits there is told of in the sweep, or has all answers.
-            client.closing = true;
             client.moved = 0;
         }
+        if written.and_then(|()| client.stream.rewatch(true)).is_err() {
+            let gone = self.drop(key);
+            self.lost.extend(gone);
+        }
+    }
+
+    /// Who waited on connections that broke while they were written to.
+    pub fn lost(&mut self) -> Vec<Heard> {
+        std::mem::take(&mut self.lost)
     }
 
     /// Closes what is dead or idle, and while too much is held who holds most. Returns who waits no more.
--- a/front/src/program/config.rs
+++ b/front/src/program/config.rs
@@ -8,7 +8,7 @@
 use std::path::Path;
 
 /// Least limits with which a front can do anything.
-const SOCKETS_LEAST: u64 = 32;
+const SOCKETS_LEAST: u64 = 96;
 const MEMORY_LEAST: u64 = 16;
 
 /// What a front is told at its start.
--- a/front/src/program/serve.rs
+++ b/front/src/program/serve.rs
@@ -205,7 +205,7 @@
         let mut bytes = [0; 16];
         while matches!(io::Read::read(&mut &*self.signal, &mut bytes), Ok(n) if n > 0) {}
         if self.leaving.is_none() {
-            self.log.line(now, "SIGTERM: taking no new work");
+            self.log.line(now, "SIGTERM: leaving");
             self.leaving = Some(now);
             self.clients.leave(now);
             self.deadlines.add(now + LEAVE_WINDOW, Due::Leave);
@@ -252,6 +252,11 @@
             for (attempt, end) in std::mem::take(&mut ends) {
                 self.front.ended(now, attempt, end);
             }
+            for gone in self.clients.lost() {
+                if let Heard::Gone(from) = gone {
+                    self.front.gone(now, from);
+                }
+            }
             std::mem::take(&mut self.members.notes).iter().for_each(|line| self.log.line(now, line));
             let Some(command) = self.front.command() else { break };
             match command {
--- a/front/tests/stories.rs
+++ b/front/tests/stories.rs
@@ -121,6 +121,32 @@
     assert_eq!(cache.hear().unwrap(), ["abort", &fetch[1]]);
 }
 
+#[test]
+fn a_client_that_disconnects_gives_up_what_it_asked_for() {
+    let stage = Stage::new(|_| {});
+    let mut client = stage.client();
+    client.ask(1, "page-bits", "5000", &[], b"");
+    let (_, mut cache) = home(&stage);
+    let fetch = cache.hear().unwrap();
+    drop(client);
+    assert_eq!(cache.hear().unwrap(), ["abort", &fetch[1]]);
+}
+
+#[test]
+fn what_was_taken_before_an_unreadable_frame_is_answered_before_the_end() {
+    let stage = Stage::new(|_| {});
+    let mut client = stage.client();
+    client.ask(1, "page-bits", "5000", &[], b"");
+    let (_, mut cache) = home(&stage);
+    let fetch = cache.hear().unwrap();
+    client.0.write_all(&[0xff; 300]).unwrap();
+    assert!(client.hear().unwrap().starts_with("type 11 stream 0"));
+    client.0.write_all(&[0xff; 300]).unwrap();
+    cache.say(&fetch[1], "HIT", "-", "whole");
+    assert!(client.hear().unwrap().ends_with("whole"));
+    assert_eq!(client.hear(), None);
+}
+
 #[test]
 fn unreadable_frames_end_one_connection_and_bad_fields_one_request() {
     let stage = Stage::new(|_| {});
@@ -191,7 +217,7 @@
 
 #[test]
 fn at_the_cap_an_idle_connection_makes_room_for_a_new_one() {
-    let stage = Stage::new(|config| config["limits"]["sockets"] = 64.into());
+    let stage = Stage::new(|config| config["limits"]["sockets"] = 96.into());
     let mut clients: Vec<_> = (0..80).map(|_| stage.client()).collect();
     let last = clients.last_mut().unwrap();
     last.send(20, 1, &[0]);
