Leave a member's limit at its full pace where answers are only late

A trace at each give-up: 405 of 518 waited for a parent, 109 for any cache. Caches of weight 12 were held to limits of 3.6 to 9.9, a parent of weight 47 for three routers to 8.7, the link told as 0.2 to 0.6 full: all under full pace, where no transfer slows another. Shares of late answers were 0.05 to 0.18. Ruled out: the front (0.1 ms to the first attempt in the median), connections, members DOWN (none).

At fault: Router::pace cut limits for lateness down to 2. Sizes vary widely and are not told, so where members pause, a tenth of the answers is late by the module's guess with no jam at all. Lateness now leaves a limit at this router's share of the full pace that the list tells, for caches as for parents; a refusal, a sure sign, still cuts to the least. This replaces the half that parents kept.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -40,9 +40,8 @@
 /// router always may, unless its share of the full pace is less.
 const LIMIT_START: f64 = 3.0;
 const LIMIT_LEAST: f64 = 2.0;
-/// Share of its full pace that a parent is always good for; places, or share of their least, by which limits
-/// grow in a round of answers in time; the factor by which a jam cuts one, at most once in the pause.
-const LIMIT_FLOOR: f64 = 0.5;
+/// Places, or share of the full pace, by which limits grow in a round of answers in time; the factor by which
+/// a jam cuts one, at most once in the pause.
 const LIMIT_GROWTH: f64 = 4.0;
 const LIMIT_CATCH_UP: f64 = 0.05;
 const LIMIT_CUT: f64 = 0.85;
@@ -228,14 +227,13 @@
             // New, or cold and empty again: its old health says nothing.
             let share = entry.weight / f64::from(self.routers(role));
             let held = known.map_or(0, |at| self.members[at].pace.held);
-            let (limit, service) = (LIMIT_START * share, WORK_UNKNOWN);
-            let least = if role == Role::Parent { LIMIT_FLOOR * share } else { LIMIT_LEAST.min(share) };
+            let (limit, least, service) = (LIMIT_START * share, LIMIT_LEAST.min(share), WORK_UNKNOWN);
             let member = Member {
                 role,
                 cold_since: entry.started,
                 cold: if role == Role::Parent { self.settings.cold_parent } else { self.settings.cold_cache },
                 health: Health { changed: self.now, ..Health::default() },
-                pace: Pace { held, limit, least, service, ..Pace::default() },
+                pace: Pace { held, limit, least, service, full: share, ..Pace::default() },
                 budget: Bucket::new(self.now),
                 listed: entry,
             };
@@ -376,7 +374,7 @@
     }
 
     /// Concurrency limit of a member or the link: guards against a jam in which all answers come too late. A
-    /// refusal is a `sure` sign of one; a few late answers are none, since sizes vary and are not told.
+    /// refusal is a `sure` sign of one. Late answers alone leave the full pace: sizes vary and are not told.
     fn pace(&mut self, spot: Spot, well: bool, sure: bool) {
         let role = if let Spot::Member(at) = spot { self.members[at].role } else { Role::Cache };
         // Where a report says how empty the link is, its limit grows the faster.
@@ -387,10 +385,11 @@
         pace.late += (f64::from(u8::from(!well)) - pace.late) * EWMA;
         if well {
             if f64::from(pace.held + 1) > pace.limit / 2.0 {
-                pace.limit += growth.max(LIMIT_CATCH_UP * pace.least) / pace.limit;
+                pace.limit += growth.max(LIMIT_CATCH_UP * pace.full) / pace.limit;
             }
         } else if (sure || pace.late >= CALM_LATE) && now >= pace.cut_at + LIMIT_PAUSE {
-            pace.limit = (pace.limit.min(f64::from(pace.held + 1)) * LIMIT_CUT).max(pace.least);
+            let least = if sure { pace.least } else { pace.least.max(pace.full) };
+            pace.limit = (pace.limit.min(f64::from(pace.held + 1)) * LIMIT_CUT).max(least);
             pace.cut_at = now;
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -38,6 +38,8 @@
     pub limit: f64,
     /// The limit is never cut below this.
     pub least: f64,
+    /// This router's share of what goes there at full pace; 0 when that is not told.
+    pub full: f64,
     pub cut_at: Time,
     /// Moving average of the share of late answers.
     pub late: f64,
--- a/tests/incidents.rs
+++ b/tests/incidents.rs
@@ -491,3 +491,19 @@
     assert!(fills >= 40, "{fills} fills at once");
     assert_eq!(stand.log, Vec::<String>::new());
 }
+
+#[test]
+fn late_answers_alone_leave_a_cache_its_full_pace() {
+    // A day with pauses: a good part of the answers was late, caches were held to a third of what goes there
+    // at full pace, and requests were given up while they waited for room.
+    let mut stand = Stand::new(settings(), usual());
+    for round in 1..=30 {
+        let sent = crowd(&mut stand, round * 100..round * 100 + 10);
+        stand.advance(2 * S);
+        for attempt in &sent {
+            stand.end(attempt, Status::Ok, Note::Hit, 0);
+        }
+    }
+    let sent = crowd(&mut stand, 5_000..5_060).len();
+    assert!(sent >= 36, "{sent} of three times twenty at once");
+}
