--- a/front/src/routing/route.rs
+++ b/front/src/routing/route.rs
@@ -10,7 +10,8 @@
         for action in actions.drain(..) {
             match action {
                 Action::Attempt { request, target, timeout, fill } => {
-                    self.send(now, request, target, timeout, fill)
+                    let until = (timeout > 0).then_some(now + timeout);
+                    self.send(now, request, target, until, fill)
                 }
                 Action::Cancel(request, number) => self.call_off(AttemptId { request, number }),
                 Action::Refuse(id, later) => self.conclude(id, Answer::Refused(later)),
--- a/front/src/routing/send.rs
+++ b/front/src/routing/send.rs
@@ -3,13 +3,14 @@
 use cranesill::api::Fill;
 
 impl Front {
-    /// Sends an attempt; they are numbered in the order sent.
+    /// Sends an attempt, which is given up at `until` or when the client's time is up; they are numbered in the
+    /// order sent.
     pub(super) fn send(
         &mut self,
         now: Time,
         request: RequestId,
         target: MemberId,
-        timeout: Span,
+        until: Option<Time>,
         fill: Option<Fill>,
     ) {
         // The decisions learn of a final answer before they decide again, so the request is open here.
@@ -17,8 +18,7 @@
         let attempt = AttemptId { request, number: open.sent };
         open.sent += 1;
         self.out.insert(attempt, Out { sent: now });
-        let own = if timeout > 0 { now + timeout } else { open.deadline };
-        let deadline = open.deadline.min(own);
+        let deadline = until.map_or(open.deadline, |until| until.min(open.deadline));
         let fetch = Fetch {
             txn: open.ask.txn,
             class: open.ask.class.as_str().into(),
--- a/front/tests/stories.rs
+++ b/front/tests/stories.rs
@@ -2,7 +2,6 @@
 mod common;
 use common::*;
 use std::io::Write;
-use std::net::TcpListener;
 
 /// The cache that gets the story's object, and its first connection: the one that the front turns to.
 fn home(stage: &Stage) -> (usize, Link) {
@@ -64,9 +63,12 @@
 
 #[test]
 fn where_nobody_listens_a_write_is_refused_with_a_time_to_come_back() {
+    // Bound and not listened on: connections are refused, and no other story gets the port.
+    let deaf = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    deaf.bind(&std::net::SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    let at = deaf.local_addr().unwrap().as_socket().unwrap().to_string();
     let stage = Stage::new(|config| {
-        let gone = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string();
-        config["known"]["events"][0]["members"]["instances"][2]["hostPort"] = gone.into();
+        config["known"]["events"][0]["members"]["instances"][2]["hostPort"] = at.as_str().into();
     });
     let mut client = stage.client();
     client.ask(1, "book-car", "3000", &[], b"keys");
