Reach a restarted member at once though its old connections are silent

Found by a story written for the trap: a cache with as many connections as its share allows, each with an attempt out, restarts under the same id. Its old connections get nothing new, but Members::send still counted them, so no new one was begun and each attempt ended as not connected until the old ones ran out of time. Only connections that may be used count against a member's share now; the cap over all members stays. Without the change the story's nineteenth request never reaches the cache.

--- a/front/src/program/members.rs
+++ b/front/src/program/members.rs
@@ -142,7 +142,9 @@
         let calm = best.as_ref().is_some_and(|(_, link)| link.open.len() < STREAMS_CALM);
         let mut chosen = best.map(|(key, _)| key);
         let mut begun = None;
-        if !calm && keys.len() < most && self.links.len() < self.links_most {
+        // Those to an earlier process may stay silent for long and must not keep a new one from being reached.
+        let live = keys.iter().filter(|key| self.links.get(key).is_some_and(|l| !l.retired)).count();
+        if !calm && live < most && self.links.len() < self.links_most {
             let address = self.listed.get(&to).map(|l| l.0);
             let stream = address.and_then(|a| Stream::new(reactor, dial(a).ok()?, key, true).ok());
             if let Some(stream) = stream {
--- a/front/tests/common/mod.rs
+++ b/front/tests/common/mod.rs
@@ -185,9 +185,9 @@
 }
 
 /// A record of the feed's list.
-pub fn record(id: u32, at: SocketAddr, state: u8) -> Vec<u8> {
+pub fn record(id: u32, at: SocketAddr, state: u8, started_ms: u64) -> Vec<u8> {
     let SocketAddr::V4(at) = at else { unreachable!() };
     let place = [state, 1, 0, 0, 0];
-    let rest = [&place[..], &8000u32.to_be_bytes(), &0u64.to_be_bytes()].concat();
+    let rest = [&place[..], &8000u32.to_be_bytes(), &started_ms.to_be_bytes()].concat();
     [&id.to_be_bytes()[..], &at.ip().octets(), &at.port().to_be_bytes(), &rest].concat()
 }
--- a/front/tests/stories.rs
+++ b/front/tests/stories.rs
@@ -176,8 +176,8 @@
     assert_eq!(last, 1);
     // One cache drains, then the other way round; a repeat of the first event changes nothing.
     let [a, b] = [0, 1].map(|i| (CACHES[i], stage.caches[i].local_addr().unwrap()));
-    let first = event(2, 2, &record(a.0, a.1, 1));
-    let second = event(3, 2, &[record(a.0, a.1, 0), record(b.0, b.1, 1)].concat());
+    let first = event(2, 2, &record(a.0, a.1, 1, 0));
+    let second = event(3, 2, &[record(a.0, a.1, 0, 0), record(b.0, b.1, 1, 0)].concat());
     stream.write_all(&[&first[..], &second, &first, &[0, 0, 0, 1]].concat()).unwrap();
     // The last frame can't be read: the front connects anew and goes on from what it holds.
     let (mut stream, last) = feed(&stage.feed);
@@ -194,6 +194,31 @@
     }
 }
 
+#[test]
+fn a_member_that_restarted_gets_connections_while_old_ones_are_silent() {
+    // One cache, and with the least number of descriptors eighteen connections to each of two members.
+    let stage = Stage::new(|config| {
+        config["limits"]["sockets"] = 96.into();
+        config["known"]["events"][0]["members"]["instances"].as_array_mut().unwrap().remove(1);
+    });
+    let (mut stream, _) = feed(&stage.feed);
+    let mut client = stage.client();
+    let mut silent = Vec::new();
+    for id in 1..=18 {
+        client.ask(id, "car-video", "60000", &[("part", &id.to_string())], b"");
+        let mut old = link(&stage.caches[0]);
+        old.hear().unwrap();
+        silent.push(old);
+    }
+    let at = stage.caches[0].local_addr().unwrap();
+    stream.write_all(&[event(2, 2, &record(CACHES[0], at, 0, 1)), vec![0; 4]].concat()).unwrap();
+    let (_stream, last) = feed(&stage.feed);
+    assert_eq!(last, 2);
+    client.ask(19, "car-video", "60000", &[("part", "19")], b"");
+    let fetch = link(&stage.caches[0]).hear().unwrap();
+    assert_eq!(fetch[1], format!("{:016x}", 19));
+}
+
 #[test]
 fn at_sigterm_what_is_taken_is_answered_and_new_connections_are_told() {
     let mut stage = Stage::new(|_| {});
