Reload on SIGHUP, and let bad clients and peers hurt themselves alone

A second copy of NONE under an id that goes out again on the same connection ends the next attempt, which sends a third beside it; the story fails without the change.

--- a/benchlink/src/wire.rs
+++ b/benchlink/src/wire.rs
@@ -162,7 +162,9 @@
                 let status = status(self.u16()?)?;
                 self.member()?;
                 let (values, note, report) = (self.load()?, note_of(note), None);
-                let outcome = Outcome { request, attempt, closed, status, note, waited, latency, report };
+                let along = false;
+                let outcome =
+                    Outcome { request, attempt, closed, status, along, note, waited, latency, report };
                 return Ok((who, Record::Outcome(outcome, values)));
             }
             11 => {
--- a/front/src/program/clients.rs
+++ b/front/src/program/clients.rs
@@ -10,13 +10,25 @@
 /// Requests open at once on one connection.
 const STREAMS_MOST: usize = 32;
 /// A connection that carries nothing for this long is closed: clients close theirs far earlier.
-const IDLE_MOST: Span = 60_000_000;
+const IDLE_MOST: Span = 10_000_000;
 /// A client that takes nothing of what is written for this long is not there.
 const STALL_MOST: Span = 10_000_000;
 /// The same while clients hold all the memory that they may: others wait for them then.
 const STALL_PRESSED: Span = 1_000_000;
-/// Reads of one connection in one turn: no client keeps the loop to itself.
-const READS_MOST: usize = 4;
+/// A frame that is begun, or owed as the first on a connection, has to be whole after this long. Guards against
+/// connections held by clients that say nothing or never end what they say.
+const FRAME_MOST: Span = 1_500_000;
+/// A connection on which all is said is closed after this long, whether or not its client closes it.
+const FAREWELL: Span = 500_000;
+/// Bytes that one read takes at most, and reads of one connection in one turn: no client keeps the loop to itself.
+const READ_MOST: usize = 16 * 1024;
+const READS_MOST: usize = 2;
+/// Messages that a client has not taken yet from which on no more is read from it: small frames at full speed
+/// would else pile up answers without end.
+const UNTAKEN_MOST: usize = 2 * STREAMS_MOST;
+/// A client that sends what can't be taken in is read again after this long: those that ask for something come
+/// first, however fast it goes on.
+const REST: Span = 100_000;
 
 /// What came from a client.
 #[derive(Debug)]
@@ -35,6 +47,12 @@
     /// What comes is passed over: it is closed once all is answered and written.
     closing: bool,
     moved: Time,
+    /// Since when a frame is owed: the first, or one that is begun.
+    owes: Option<Time>,
+    /// Nothing is read until then.
+    rests: Time,
+    /// All is said: it is closed then.
+    ends: Option<Time>,
 }
 
 /// All connections of clients.
@@ -45,9 +63,15 @@
     pub leaving: bool,
     held: usize,
     lost: Vec<Heard>,
+    scratch: Vec<u8>,
 }
 
 impl Clients {
+    /// No connections yet.
+    pub fn new() -> Self {
+        Clients { scratch: vec![0; READ_MOST], ..Clients::default() }
+    }
+
     /// Connections held.
     pub fn len(&self) -> usize {
         self.all.len()
@@ -71,7 +95,8 @@
     /// Takes over a connection that was accepted.
     pub fn add(&mut self, now: Time, reactor: &Reactor, socket: TcpStream, key: usize) -> io::Result<()> {
         let stream = Stream::new(reactor, socket, key, false)?;
-        self.all.insert(key, Client { stream, open: HashSet::new(), closing: false, moved: now });
+        let (open, closing, owes) = (HashSet::new(), false, Some(now));
+        self.all.insert(key, Client { stream, open, closing, moved: now, owes, rests: 0, ends: None });
         if self.leaving {
             self.say_no_more(now, key);
         }
@@ -95,9 +120,11 @@
     /// Reads what has come on a connection.
     pub fn read(&mut self, now: Time, key: usize) -> Vec<Heard> {
         let mut heard = Vec::new();
-        for _ in 0..READS_MOST {
-            let Some(client) = self.all.get_mut(&key) else { break };
-            match client.stream.fill() {
+        for round in 0..READS_MOST {
+            // The first read is made even from one that rests: its end is told whether it is watched or not, and
+            // would be told again and again.
+            let Some(client) = self.all.get_mut(&key).filter(|c| round == 0 || c.reads(now)) else { break };
+            match client.stream.fill(&mut self.scratch) {
                 Ok(Some(n)) if n > 0 => {}
                 Ok(None) => break,
                 _ => {
@@ -112,7 +139,7 @@
                 continue;
             }
             client.moved = now;
-            client.hear(key, !self.leaving, &mut heard);
+            client.hear(now, key, !self.leaving, &mut heard);
             self.flush(now, key);
         }
         heard
@@ -139,9 +166,10 @@
         if client.closing && client.open.is_empty() && client.stream.flushed() {
             // All is said: the client closes it now, or the next sweep does.
             client.stream.finish();
-            client.moved = 0;
+            client.ends = client.ends.or(Some(now + FAREWELL));
         }
-        if written.and_then(|()| client.stream.rewatch(true)).is_err() {
+        let reads = client.reads(now);
+        if written.and_then(|()| client.stream.rewatch(reads)).is_err() {
             let gone = self.drop(key);
             self.lost.extend(gone);
         }
@@ -155,9 +183,19 @@
     /// Closes what is dead or idle, and while too much is held who holds most. Returns who waits no more.
     pub fn sweep(&mut self, now: Time, pressed: usize, held_most: usize) -> Vec<Heard> {
         let stall = if self.held > pressed { STALL_PRESSED } else { STALL_MOST };
+        let keys: Vec<_> = self.all.keys().copied().collect();
+        for key in keys {
+            let Some(client) = self.all.get_mut(&key) else { continue };
+            if !client.closing && client.owes.is_some_and(|since| now > since + FRAME_MOST) {
+                client.end();
+            }
+            // Those that rested are read again.
+            self.flush(now, key);
+        }
         let stale = |c: &Client| {
             let most = if c.stream.flushed() { IDLE_MOST } else { stall };
-            now > c.moved + most && (c.open.is_empty() || !c.stream.flushed() || c.moved == 0)
+            let idle = now > c.moved + most && (c.open.is_empty() || !c.stream.flushed());
+            idle || c.ends.is_some_and(|at| now > at)
         };
         let stale: Vec<_> = self.all.iter().filter(|(_, c)| stale(c)).map(|(key, _)| *key).collect();
         let mut gone: Vec<_> = stale.into_iter().flat_map(|key| self.drop(key)).collect();
@@ -169,10 +207,11 @@
         gone
     }
 
-    /// Closes the connection without a request that was idle for longest. `false`: all have some.
+    /// Closes a connection without a request: before the one that was idle for longest, one that never sent a
+    /// whole frame. `false`: all have some.
     pub fn evict(&mut self) -> bool {
         let idle = self.all.iter().filter(|(_, c)| c.open.is_empty() && c.stream.flushed());
-        let key = idle.min_by_key(|(key, c)| (c.moved, **key)).map(|(key, _)| *key);
+        let key = idle.min_by_key(|(key, c)| (c.owes.is_none(), c.moved, **key)).map(|(key, _)| *key);
         key.map(|key| self.drop(key)).is_some()
     }
 
@@ -187,12 +226,21 @@
 }
 
 impl Client {
+    /// Whether more is read from it.
+    fn reads(&self, now: Time) -> bool {
+        now >= self.rests && self.stream.untaken() < UNTAKEN_MOST
+    }
+
     /// Takes whole frames off the input.
-    fn hear(&mut self, key: usize, ready: bool, heard: &mut Vec<Heard>) {
+    fn hear(&mut self, now: Time, key: usize, ready: bool, heard: &mut Vec<Heard>) {
         loop {
             let (message, used) = match client::decode(self.stream.input()) {
                 Ok(Some(found)) => found,
-                Ok(None) => return,
+                Ok(None) => {
+                    let begun = !self.stream.input().is_empty();
+                    self.owes = begun.then(|| self.owes.unwrap_or(now));
+                    return;
+                }
                 // Where one frame ends is lost: what was taken is answered, nothing more is read.
                 Err(_) => return self.end(),
             };
@@ -204,10 +252,15 @@
                     if !self.open.insert(stream) {
                         return self.end();
                     }
+                    let ask = ask.and_then(|ask| {
+                        Some(ask).filter(|_| self.open.len() <= STREAMS_MOST).ok_or("too many streams")
+                    });
                     heard.push(match ask {
-                        Ok(ask) if self.open.len() <= STREAMS_MOST => Heard::Ask(from, ask),
-                        Ok(_) => Heard::Bad(from, "too many streams"),
-                        Err(field) => Heard::Bad(from, field),
+                        Ok(ask) => Heard::Ask(from, ask),
+                        Err(why) => {
+                            self.rests = now + REST;
+                            Heard::Bad(from, why)
+                        }
                     });
                 }
                 Message::Gone(stream) => {
@@ -218,9 +271,11 @@
                 Message::Ready(stream) => self.stream.push(client::ready(stream, ready)),
             }
             self.stream.consume(used);
+            self.owes = None;
         }
     }
 
+    /// Nothing more is taken in; what is open is answered.
     fn end(&mut self) {
         self.stream.push(client::error());
         self.closing = true;
--- a/front/src/program/config.rs
+++ b/front/src/program/config.rs
@@ -5,7 +5,7 @@
 use cranesill_settings::Deployment;
 use serde_json::Value;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 /// Least limits with which a front can do anything.
 const SOCKETS_LEAST: u64 = 96;
@@ -14,6 +14,8 @@
 /// What a front is told at its start.
 #[derive(Debug)]
 pub struct Config {
+    /// Where it was read from, and is read again at a reload.
+    pub file: PathBuf,
     pub name: String,
     pub listen: SocketAddr,
     pub seed: u64,
@@ -30,11 +32,10 @@
     pub fn load(file: &Path) -> Result<Self, String> {
         let text = std::fs::read(file).map_err(|e| format!("{}: {e}", file.display()))?;
         let value = serde_json::from_slice(&text).map_err(|e| format!("{}: {e}", file.display()))?;
-        Self::read(&value).map_err(|e| format!("{}: {e}", file.display()))
+        Self::read(file, &value).map_err(|e| format!("{}: {e}", file.display()))
     }
 
-    /// Reads the parsed text.
-    pub fn read(v: &Value) -> Result<Self, String> {
+    fn read(file: &Path, v: &Value) -> Result<Self, String> {
         let address = |key: &str| {
             let text = v[key].as_str().ok_or_else(|| format!("{key}: missing"))?;
             text.parse::<SocketAddr>().map_err(|_| format!("{key}: no address: {text}"))
@@ -46,6 +47,7 @@
         let seed = v["seed"].as_str().ok_or("seed: missing")?;
         let deployment = cranesill_settings::read(&v["settings"])?;
         Ok(Config {
+            file: file.to_path_buf(),
             name: v["name"].as_str().unwrap_or("front").to_string(),
             listen: address("listen")?,
             seed: u64::from_str_radix(seed, 16).map_err(|_| format!("seed: not hex: {seed}"))?,
--- a/front/src/program/members.rs
+++ b/front/src/program/members.rs
@@ -3,7 +3,7 @@
 use crate::routing::{AttemptId, End, Fetch, Txn};
 use crate::transport::{dial, Reactor, Stream};
 use cranesill::api::{Entry, Listed, MemberId, Span, Time};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::io;
 use std::net::SocketAddr;
 
@@ -12,8 +12,12 @@
 /// Share of the members' idle time after which a connection is closed here: a request must not cross their
 /// close.
 const IDLE_SHARE: f64 = 0.5;
-/// For how long a connection remembers an id that was given up there; no attempt is out for longer.
-const STALE: Span = 30_000_000;
+/// For how long, or up to twice that, a connection remembers an id that it carried: answers to it may still come.
+const CARRIED: Span = 10_000_000;
+/// Bytes that one read takes at most.
+const READ_MOST: usize = 64 * 1024;
+/// An answer of which nothing more comes for this long is broken off, and whatever is behind it with it.
+const PART_MOST: Span = 500_000;
 
 /// Attempts that ended.
 pub type Ends = Vec<(AttemptId, End)>;
@@ -34,15 +38,42 @@
     /// Nothing new goes here.
     retired: bool,
     open: HashMap<Txn, Sent>,
-    /// Ids that were given up here: a late answer to one must not be taken for that of its next attempt.
-    stale: Vec<(Txn, Time)>,
+    carried: Carried,
     idle_since: Time,
+    /// When something came here last.
+    heard: Time,
 }
 
 impl Link {
+    fn new(now: Time, member: MemberId, stream: Stream<Option<Txn>>) -> Self {
+        let (open, carried) = (HashMap::new(), Carried::default());
+        Link { stream, member, up: false, retired: false, open, carried, idle_since: now, heard: now }
+    }
+
     fn takes(&self, txn: &Txn, streams: usize) -> bool {
-        let known = self.open.contains_key(txn) || self.stale.iter().any(|s| s.0 == *txn);
-        !self.retired && !known && self.open.len() < streams
+        !self.retired && !self.carried.has(txn) && self.open.len() < streams
+    }
+}
+
+/// Ids that a connection carried lately, in two generations. Guards against an answer that comes twice, or late
+/// for an attempt that was given up: it would be taken for that of the next attempt under the same id.
+#[derive(Debug, Default)]
+struct Carried {
+    new: HashSet<Txn>,
+    old: HashSet<Txn>,
+    since: Time,
+}
+
+impl Carried {
+    fn has(&self, txn: &Txn) -> bool {
+        self.new.contains(txn) || self.old.contains(txn)
+    }
+
+    fn add(&mut self, now: Time, txn: Txn) {
+        if now > self.since + CARRIED {
+            (self.old, self.since) = (std::mem::take(&mut self.new), now);
+        }
+        self.new.insert(txn);
     }
 }
 
@@ -62,6 +93,7 @@
     held: usize,
     /// Nothing is read: too much is held already.
     paused: bool,
+    scratch: Vec<u8>,
     /// Lines for the log.
     pub notes: Vec<String>,
 }
@@ -79,6 +111,7 @@
             idle: (idle as f64 * IDLE_SHARE) as Span,
             held: 0,
             paused: false,
+            scratch: vec![0; READ_MOST],
             notes: Vec::new(),
         }
     }
@@ -95,11 +128,14 @@
 
     /// Reads nothing more from members, or goes on. Guards the memory limit: what members send faster than
     /// clients take it stays with the members.
-    pub fn pause(&mut self, paused: bool) {
+    pub fn pause(&mut self, now: Time, paused: bool) {
         if self.paused != paused {
             self.paused = paused;
             // It can only fail for a socket that is not watched.
-            self.links.values_mut().filter(|l| l.up).for_each(|l| drop(l.stream.rewatch(!paused)));
+            for link in self.links.values_mut().filter(|l| l.up) {
+                drop(link.stream.rewatch(!paused));
+                link.heard = link.heard.max(now);
+            }
         }
     }
 
@@ -141,26 +177,27 @@
         let best = fit.min_by_key(|(key, link)| (link.open.len(), !link.up, **key)).map(|(key, l)| (*key, l));
         let calm = best.as_ref().is_some_and(|(_, link)| link.open.len() < STREAMS_CALM);
         let mut chosen = best.map(|(key, _)| key);
-        let mut begun = None;
+        let (mut begun, mut end) = (None, End::Unplaced);
         // Those to an earlier process may stay silent for long and must not keep a new one from being reached.
         let live = keys.iter().filter(|key| self.links.get(key).is_some_and(|l| !l.retired)).count();
-        if !calm && live < most && self.links.len() < self.links_most {
-            let address = self.listed.get(&to).map(|l| l.0);
-            let stream = address.and_then(|a| Stream::new(reactor, dial(a).ok()?, key, true).ok());
-            if let Some(stream) = stream {
-                let (open, stale) = (HashMap::new(), Vec::new());
-                let link =
-                    Link { stream, member: to, up: false, retired: false, open, stale, idle_since: now };
-                self.links.insert(key, link);
-                keys.push(key);
-                (chosen, begun) = (Some(key), Some(key));
+        let address = self.listed.get(&to).map(|l| l.0).filter(|_| !calm && live < most);
+        if let Some(address) = address.filter(|_| self.links.len() < self.links_most) {
+            match dial(address).and_then(|socket| Stream::new(reactor, socket, key, true)) {
+                Ok(stream) => {
+                    self.links.insert(key, Link::new(now, to, stream));
+                    keys.push(key);
+                    (chosen, begun) = (Some(key), Some(key));
+                }
+                Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => end = End::Unsent { along: false },
+                Err(_) => {}
             }
         }
         let link = chosen.and_then(|key| self.links.get_mut(&key).map(|link| (key, link)));
         let Some((key, link)) = link else {
-            ends.push((attempt, End::Unsent));
+            ends.push((attempt, end));
             return None;
         };
+        link.carried.add(now, fetch.txn);
         link.open.insert(fetch.txn, Sent { attempt, written: false });
         link.stream.push(member::fetch(fetch, now));
         self.at.insert(attempt, (key, fetch.txn));
@@ -177,8 +214,6 @@
         if link.stream.take_back(|tag| *tag == Some(txn)) {
             return;
         }
-        link.stale.retain(|s| now < s.1);
-        link.stale.push((txn, now + STALE));
         link.stream.push(member::abort(txn));
         self.flush(now, key, ends);
         // Guards the rule that no two attempts of a request are out: a command that can't be written yet
@@ -196,7 +231,7 @@
         if link.stream.take_back(|tag| *tag == Some(txn)) {
             link.open.remove(&txn);
             self.at.remove(&attempt);
-            ends.push((attempt, End::Unsent));
+            ends.push((attempt, End::Unsent { along: false }));
         }
     }
 
@@ -226,11 +261,11 @@
     }
 
     fn read(&mut self, now: Time, key: usize, ends: &mut Ends) -> io::Result<()> {
-        while let Some(link) = self.links.get_mut(&key).filter(|_| !self.paused) {
-            match link.stream.fill()? {
+        while let Some(link) = self.links.get_mut(&key) {
+            match link.stream.fill(&mut self.scratch)? {
                 None => break,
                 Some(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
-                Some(_) => {}
+                Some(_) => link.heard = now,
             }
             loop {
                 let found = member::decode(link.stream.input());
@@ -249,6 +284,11 @@
                 link.idle_since = now;
             }
             link.stream.count(&mut self.held);
+            // One read is made all the same: the end of a connection is told though it is not watched, and would
+            // be told again and again.
+            if self.paused {
+                break;
+            }
         }
         Ok(())
     }
@@ -279,14 +319,22 @@
         self.of.get_mut(&link.member).into_iter().for_each(|keys| keys.retain(|k| *k != key));
         let mut open: Vec<_> = link.open.into_values().collect();
         open.sort_unstable_by_key(|sent| sent.attempt);
-        for sent in open {
+        for (i, sent) in open.into_iter().enumerate() {
             self.at.remove(&sent.attempt);
-            ends.push((sent.attempt, if sent.written { End::Broken } else { End::Unsent }));
+            let along = i > 0;
+            ends.push((
+                sent.attempt,
+                if sent.written { End::Broken { along } } else { End::Unsent { along } },
+            ));
         }
     }
 
-    /// Closes connections that carry nothing and are old or not to be used again.
-    pub fn sweep(&mut self, now: Time) {
+    /// Closes connections that stopped in the middle of an answer, and those that carry nothing and are old or
+    /// not to be used again.
+    pub fn sweep(&mut self, now: Time, ends: &mut Ends) {
+        let part = |l: &Link| !self.paused && !l.stream.input().is_empty() && now > l.heard + PART_MOST;
+        let part: Vec<_> = self.links.iter().filter(|(_, l)| part(l)).map(|(key, _)| *key).collect();
+        part.into_iter().for_each(|key| self.fail(key, "an answer stops short", ends));
         let over = |l: &Link| l.open.is_empty() && (l.retired || now > l.idle_since + self.idle);
         let over: Vec<_> = self.links.iter().filter(|(_, l)| over(l)).map(|(key, _)| *key).collect();
         over.into_iter().for_each(|key| self.fail(key, "idle", &mut Vec::new()));
--- a/front/src/program/serve.rs
+++ b/front/src/program/serve.rs
@@ -13,9 +13,12 @@
 use std::os::unix::net::UnixStream;
 
 const LISTENER: usize = 0;
-const SIGNAL: usize = 1;
+const TERM: usize = 1;
+const HANGUP: usize = 2;
+/// Keys from here on are for connections.
+const KEYS: usize = 3;
 /// Pause between two sweeps over all connections.
-const SWEEP: Span = 1_000_000;
+const SWEEP: Span = 250_000;
 /// After SIGTERM requests are taken for this long: clients hear of it one after another.
 const LEAVE_WINDOW: Span = 1_000_000;
 /// After SIGTERM the program ends then, whatever is not done.
@@ -40,7 +43,8 @@
     clock: Clock,
     reactor: Reactor,
     listener: Registered<TcpListener>,
-    signal: Registered<UnixStream>,
+    term: Registered<UnixStream>,
+    hangup: Registered<UnixStream>,
     deadlines: Deadlines<Due>,
     front: Front,
     clients: Clients,
@@ -59,27 +63,25 @@
         let reactor = Reactor::new().map_err(failed("poller"))?;
         let listener = listen(config.listen).map_err(|e| format!("{}: {e}", config.listen))?;
         let listener = reactor.watch(listener, LISTENER, false).map_err(failed("poller"))?;
-        let (signal, raised) = UnixStream::pair().map_err(failed("signals"))?;
-        signal.set_nonblocking(true).map_err(failed("signals"))?;
-        let term = signal_hook::consts::SIGTERM;
-        signal_hook::low_level::pipe::register(term, raised).map_err(failed("signals"))?;
-        let signal = reactor.watch(signal, SIGNAL, false).map_err(failed("poller"))?;
+        let term = raised(&reactor, signal_hook::consts::SIGTERM, TERM).map_err(failed("signals"))?;
+        let hangup = raised(&reactor, signal_hook::consts::SIGHUP, HANGUP).map_err(failed("signals"))?;
         let limits = config.deployment.limits;
         let (last, known) = std::mem::take(&mut config.known);
         let mut server = Server {
             front: Front::new(config.deployment.clone(), config.seed, config.room()),
             members: Members::new(config.links_most(), limits.streams, limits.idle),
             feed: Feed::new(config.feed, last),
-            clients: Clients::default(),
+            clients: Clients::new(),
             deadlines: Deadlines::new(),
             log: Log::default(),
-            last_key: SIGNAL,
+            last_key: KEYS,
             leaving: None,
             config,
             clock,
             reactor,
             listener,
-            signal,
+            term,
+            hangup,
         };
         let now = server.clock.now();
         let at = server.listener.local_addr().map_err(failed("listener"))?;
@@ -109,7 +111,7 @@
         while let Some(due) = self.deadlines.take(now) {
             self.due(now, due);
         }
-        self.members.pause(self.clients.held() > self.config.room().bytes);
+        self.members.pause(now, self.clients.held() > self.config.room().bytes);
         let since = self.leaving.filter(|since| now >= since + LEAVE_WINDOW);
         let done = self.front.open() == 0 && self.clients.flushed();
         Ok(since.is_some_and(|since| done || now >= since + LEAVE_MOST))
@@ -123,7 +125,8 @@
     fn event(&mut self, now: Time, key: usize, readable: bool, writable: bool) {
         match key {
             LISTENER => self.accept(now),
-            SIGNAL => self.leave(now),
+            TERM => self.leave(now),
+            HANGUP => self.reload(now),
             _ if self.feed.is(key) => {
                 self.feed.ready(now).into_iter().for_each(|news| self.news(now, news));
                 self.deadlines.add(self.feed.due, Due::Feed);
@@ -159,7 +162,7 @@
             Due::Sweep => {
                 let gone = self.clients.sweep(now, self.config.room().bytes, self.config.held_most());
                 self.hear(now, gone);
-                self.members.sweep(now);
+                self.members.sweep(now, &mut ends);
                 self.listen(true);
                 self.deadlines.add(now + SWEEP, Due::Sweep);
             }
@@ -202,8 +205,7 @@
 
     /// SIGTERM: clients are told, and what is taken is still answered.
     fn leave(&mut self, now: Time) {
-        let mut bytes = [0; 16];
-        while matches!(io::Read::read(&mut &*self.signal, &mut bytes), Ok(n) if n > 0) {}
+        drain(&self.term);
         if self.leaving.is_none() {
             self.log.line(now, "SIGTERM: leaving");
             self.leaving = Some(now);
@@ -213,6 +215,20 @@
         }
     }
 
+    /// SIGHUP: the configuration is read again. One that can't be used changes nothing; of a good one only the
+    /// feed's address is taken over, and open requests notice nothing.
+    fn reload(&mut self, now: Time) {
+        drain(&self.hangup);
+        match Config::load(&self.config.file) {
+            Ok(new) => {
+                self.log.line(now, &format!("SIGHUP: the feed is at {}", new.feed));
+                self.feed.move_to(now, new.feed);
+                self.deadlines.add(now, Due::Feed);
+            }
+            Err(e) => self.log.line(now, &format!("SIGHUP: the configuration stays as it was: {e}")),
+        }
+    }
+
     fn hear(&mut self, now: Time, heard: Vec<Heard>) {
         for one in heard {
             self.front.holds(self.clients.held() + self.members.held());
@@ -282,6 +298,19 @@
     }
 }
 
+/// What becomes readable when a signal comes.
+fn raised(reactor: &Reactor, signal: i32, key: usize) -> io::Result<Registered<UnixStream>> {
+    let (read, write) = UnixStream::pair()?;
+    read.set_nonblocking(true)?;
+    signal_hook::low_level::pipe::register(signal, write)?;
+    reactor.watch(read, key, false)
+}
+
+fn drain(signal: &Registered<UnixStream>) {
+    let mut bytes = [0; 16];
+    while matches!(io::Read::read(&mut &**signal, &mut bytes), Ok(n) if n > 0) {}
+}
+
 fn entry(listing: &Listing) -> Entry {
     Entry {
         member: MemberId(listing.id.into()),
--- a/front/src/protocol/client.rs
+++ b/front/src/protocol/client.rs
@@ -7,6 +7,11 @@
 /// What the length of a frame may be.
 const LENGTH: std::ops::RangeInclusive<usize> = 5..=262_144;
 
+/// Bytes that a write may bring; a member reads no more.
+const BODY_MOST: usize = 48_000;
+/// Letters and digits of a tag at most.
+const TAG_MOST: usize = 64;
+
 /// A frame from a client.
 #[derive(Debug)]
 pub enum Message<'a> {
@@ -55,24 +60,27 @@
                 hex16(value).ok_or("txn is not 16 hex digits")?;
                 txn = Txn::new(value);
             }
-            b"limit" => limit = Some(value.parse::<u32>().map_err(|_| "limit is no number")?),
+            b"limit" => limit = Some(number(value).ok_or("limit is no number")?),
             b"item" => {
                 let id = hex16(value).ok_or("item is not 16 hex digits")?;
                 item = Some(Item { text: value.into(), id });
             }
-            b"part" => part = value.parse::<u32>().map_err(|_| "part is no number")?,
+            b"part" => part = number(value).ok_or("part is no number")?,
             b"group" => {
-                group =
-                    value.parse::<u32>().ok().filter(|g| *g < 256).ok_or("group is no number below 256")?;
+                group = number(value).filter(|g| *g < 256).ok_or("group is no number below 256")?;
             }
             // It goes into a list of fields between commas.
             b"have" => {
-                let bare = !value.is_empty() && value.bytes().all(|b| b.is_ascii_alphanumeric());
+                let bare = (1..=TAG_MOST).contains(&value.len());
+                let bare = bare && value.bytes().all(|b| b.is_ascii_alphanumeric());
                 have = Some(bare.then(|| value.into()).ok_or("have is no bare tag")?);
             }
             _ => {}
         }
     }
+    if cursor.0.len() > BODY_MOST {
+        return Err("body too long");
+    }
     Ok(Ask {
         class: class.ok_or("no verb")?,
         txn: txn.ok_or("no txn")?,
@@ -85,6 +93,11 @@
     })
 }
 
+/// Digits and nothing else: no sign, as the standard library would allow.
+fn number(text: &str) -> Option<u32> {
+    text.bytes().all(|b| b.is_ascii_digit()).then(|| text.parse().ok()).flatten()
+}
+
 fn frame(kind: u8, stream: u32, payload: &[u8], body: Rc<[u8]>) -> Outgoing<()> {
     let length = 5 + payload.len() + body.len();
     let mut head = Vec::with_capacity(9 + payload.len());
@@ -177,6 +190,15 @@
         };
         let told =
             [bad("txn", "+b1f03aa5c7e2d41"), bad("limit", "-1"), bad("group", "256"), bad("have", "a,b")];
+        // The standard library would take a sign; members would not read a tag or a body of any length.
+        for (name, value) in
+            [("part", "+1"), ("limit", ""), ("part", "4294967296"), ("have", &"a".repeat(65))]
+        {
+            bad(name, value);
+        }
+        let good = [("verb", "v"), ("txn", "9b1f03aa5c7e2d41"), ("limit", "5")];
+        assert!(ask(&request(&good, &[7; 48_000])[9..]).is_ok());
+        assert!(ask(&request(&good, &[7; 48_001])[9..]).is_err());
         insta::assert_debug_snapshot!(told);
     }
 }
--- a/front/src/protocol/member.rs
+++ b/front/src/protocol/member.rs
@@ -5,10 +5,8 @@
 use cranesill::api::{MemberId, Note, Time};
 use std::rc::Rc;
 
-/// Bytes of one string at most: an object and some room.
-const STRING_MOST: usize = 262_144;
-/// Strings of one answer at most.
-const STRINGS_MOST: usize = 8;
+/// Bytes at most of the strings of an answer: id, word, fields, and an object with some room.
+const STRINGS_MOST: [usize; 4] = [16, 16, 4_096, 262_144];
 /// Digits of a length at most.
 const DIGITS_MOST: usize = 7;
 
@@ -90,15 +88,16 @@
 
 /// Takes the first answer off `input`. `None`: it is not whole yet.
 pub fn decode(input: &[u8]) -> Result<Option<Decoded<'_>>, Unreadable> {
-    let Some((count, mut at)) = length(input, 0, b'*', STRINGS_MOST)? else { return Ok(None) };
+    let Some((count, mut at)) = length(input, 0, b'*', STRINGS_MOST.len())? else { return Ok(None) };
+    if count != STRINGS_MOST.len() {
+        return Err(Unreadable("no answer of four strings"));
+    }
     let mut parts: [&[u8]; 4] = [b""; 4];
-    for i in 0..count {
-        let Some((n, begin)) = length(input, at, b'$', STRING_MOST)? else { return Ok(None) };
+    for (part, most) in parts.iter_mut().zip(STRINGS_MOST) {
+        let Some((n, begin)) = length(input, at, b'$', most)? else { return Ok(None) };
         let Some(string) = input.get(begin..begin + n + 2) else { return Ok(None) };
         let string = string.strip_suffix(b"\r\n").ok_or(Unreadable("string without its end"))?;
-        if let Some(part) = parts.get_mut(i) {
-            *part = string;
-        }
+        *part = string;
         at = begin + n + 2;
     }
     let [id, word, fields, body] = parts;
@@ -202,10 +201,11 @@
     #[test]
     fn lengths_out_of_bounds_are_unreadable() {
         for bad in
-            [&b"+OK\r\n"[..], b"*9\r\n", b"*4\r\n$-1\r\n", b"*1\r\n$999999999999", b"*1\r\n$300000\r\n"]
+            // An id of a thousand bytes or a fifth string would be waited for in vain.
+            [&b"+OK\r\n"[..], b"*5\r\n", b"*4\r\n$-1\r\n", b"*4\r\n$999999999999", b"*4\r\n$1000\r\n"]
         {
             assert!(decode(bad).is_err(), "{}", String::from_utf8_lossy(bad));
         }
-        assert!(decode(b"*1\r\n$1\r\nabc").is_err());
+        assert!(decode(b"*4\r\n$1\r\nabc").is_err());
     }
 }
--- a/front/src/routing/book.rs
+++ b/front/src/routing/book.rs
@@ -10,11 +10,13 @@
         let (status, note, waited, meter) = match &end {
             End::Reply(reply) => (status(reply), reply.note, reply.waited, &reply.meter[..]),
             // Not written whole: the member can't have run it.
-            End::Unsent => (Status::ConnectFailed, Note::None, 0, &[][..]),
-            End::Broken => (Status::Reset, Note::None, 0, &[][..]),
+            End::Unsent { .. } => (Status::ConnectFailed, Note::None, 0, &[][..]),
+            End::Unplaced => (Status::Moot, Note::None, 0, &[][..]),
+            End::Broken { .. } => (Status::Reset, Note::None, 0, &[][..]),
             End::CalledOff => (Status::Cancelled, Note::None, 0, &[][..]),
             End::Expired => (Status::Timeout, Note::None, 0, &[][..]),
         };
+        let along = matches!(end, End::Unsent { along: true } | End::Broken { along: true });
         let closed = match &end {
             End::Reply(reply) => self.relay(id, reply),
             _ => !self.open.contains_key(&id),
@@ -31,6 +33,7 @@
                 attempt: number,
                 closed,
                 status,
+                along,
                 note,
                 waited,
                 latency,
--- a/front/src/routing/tests.rs
+++ b/front/src/routing/tests.rs
@@ -74,7 +74,7 @@
     };
     front.ended(2 * S, attempt, reply(Word::Hit));
     front.ended(2 * S, attempt, reply(Word::Fault));
-    front.ended(2 * S, attempt, End::Broken);
+    front.ended(2 * S, attempt, End::Broken { along: false });
     front.wake(5 * S, Wake::Request(attempt.request));
     assert_eq!(answers(&mut front), [Answer::Served(b"booked".as_slice().into())]);
     assert_eq!(front.open(), 0);
--- a/front/src/routing/types.rs
+++ b/front/src/routing/types.rs
@@ -122,10 +122,12 @@
 pub enum End {
     /// With an answer.
     Reply(MemberReply),
-    /// It was never written whole: no connection, or it broke before.
-    Unsent,
+    /// It was never written whole: no connection, or it broke before; along with another there or not.
+    Unsent { along: bool },
+    /// There was no connection to put it on: that says nothing of the member.
+    Unplaced,
     /// The connection broke after it was written whole.
-    Broken,
+    Broken { along: bool },
     /// It was called off.
     CalledOff,
     /// Its time was up.
--- a/front/src/transport/stream.rs
+++ b/front/src/transport/stream.rs
@@ -6,8 +6,8 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 
-/// Bytes that one read takes at most.
-const READ_MOST: usize = 64 * 1024;
+/// Room for input that an idle connection keeps.
+const KEPT_MOST: usize = 4 * 1024;
 /// Slices that one gathered write takes at most.
 const SLICES_MOST: usize = 48;
 /// Connections that the system accepts ahead of the program.
@@ -73,21 +73,15 @@
         }
     }
 
-    /// Reads once. `None`: there is nothing now; 0: the other side has ended it.
-    pub fn fill(&mut self) -> io::Result<Option<usize>> {
-        if self.consumed > 0 {
-            self.input.drain(..self.consumed);
-            self.consumed = 0;
-        }
-        if self.input.is_empty() {
-            self.input.shrink_to(READ_MOST);
-        }
-        let held = self.input.len();
-        self.input.resize(held + READ_MOST, 0);
-        let got = self.socket.read(&mut self.input[held..]);
-        self.input.truncate(held + *got.as_ref().unwrap_or(&0));
-        match got {
-            Ok(n) => Ok(Some(n)),
+    /// Reads once by way of `scratch`, which is shared: a connection holds no more than what is not dealt with.
+    /// `None`: there is nothing now; 0: the other side has ended it.
+    pub fn fill(&mut self, scratch: &mut [u8]) -> io::Result<Option<usize>> {
+        match self.socket.read(scratch) {
+            Ok(n) => {
+                self.input.drain(..std::mem::take(&mut self.consumed));
+                self.input.extend_from_slice(&scratch[..n]);
+                Ok(Some(n))
+            }
             Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => Ok(None),
             Err(e) => Err(e),
         }
@@ -101,6 +95,12 @@
     /// Marks the first `n` bytes of the input as dealt with.
     pub fn consume(&mut self, n: usize) {
         self.consumed += n;
+        if self.consumed == self.input.len() {
+            self.consumed = 0;
+            self.input.clear();
+            // Guards the memory limit: hundreds of connections would each keep room for their largest message.
+            self.input.shrink_to(KEPT_MOST);
+        }
     }
 
     /// Bytes that this connection holds: input not dealt with and output not written.
@@ -119,6 +119,11 @@
         *sum -= std::mem::take(&mut self.counted);
     }
 
+    /// Messages that the other side has not taken yet.
+    pub fn untaken(&self) -> usize {
+        self.output.len()
+    }
+
     /// Whether nothing is left to be written.
     pub fn flushed(&self) -> bool {
         self.output.is_empty()
--- a/front/tests/common/mod.rs
+++ b/front/tests/common/mod.rs
@@ -2,6 +2,7 @@
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{channel, Receiver};
 use std::time::Duration;
@@ -24,7 +25,8 @@
     pub config: Value,
     pub front: Child,
     pub address: SocketAddr,
-    _log: Receiver<String>,
+    pub file: PathBuf,
+    pub log: Receiver<String>,
 }
 
 fn bound() -> TcpListener {
@@ -50,15 +52,22 @@
         ]);
         change(&mut config);
         let (mut front, lines) = start(&config);
+        let file = lines.to_path_buf();
         let log = follow(&mut front, lines);
         let address = until(&log, "listens on").rsplit(' ').next().unwrap().parse().unwrap();
-        Stage { caches, origin, feed, config, front, address, _log: log }
+        Stage { caches, origin, feed, config, front, address, file, log }
     }
 
     pub fn client(&self) -> Client {
         Client(guarded(TcpStream::connect(self.address).unwrap()))
     }
 
+    /// Sends the front a signal.
+    pub fn signal(&self, name: &str) {
+        let pid = self.front.id().to_string();
+        assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
+    }
+
     /// A client with the smallest buffer for what it hears.
     pub fn narrow_client(&self) -> Client {
         let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
--- a/front/tests/stories.rs
+++ b/front/tests/stories.rs
@@ -55,6 +55,9 @@
     let mut origin = link(&stage.origin);
     let fetch = origin.hear().unwrap();
     origin.say(&fetch[1], "SHED", "-", "");
+    // On another connection: a second copy of the first answer would be taken for that of this attempt.
+    origin.say(&fetch[1], "SHED", "-", "");
+    let mut origin = link(&stage.origin);
     told.push(origin.hear().unwrap().join(" "));
     origin.say(&fetch[1], "HIT", "-", "booked");
     told.extend(client.hear());
@@ -226,8 +229,7 @@
     client.ask(1, "page-bits", "5000", &[], b"");
     let (at, mut cache) = home(&stage);
     let fetch = cache.hear().unwrap();
-    let pid = stage.front.id().to_string();
-    assert!(std::process::Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+    stage.signal("-TERM");
     let mut told = vec![client.hear()];
     let mut late = stage.client();
     told.push(late.hear());
@@ -242,6 +244,78 @@
     insta::assert_debug_snapshot!(told);
 }
 
+#[test]
+fn at_sighup_the_feed_is_asked_at_its_new_address_and_nothing_else_changes() {
+    let stage = Stage::new(|_| {});
+    let (mut old, _) = feed(&stage.feed);
+    old.write_all(&event(2, 4, &[0; 10])).unwrap();
+    let mut client = stage.client();
+    client.ask(1, "page-bits", "5000", &[], b"");
+    let (_, mut cache) = home(&stage);
+    let fetch = cache.hear().unwrap();
+    // A file that can't be used changes nothing.
+    std::fs::write(&stage.file, "{").unwrap();
+    stage.signal("-HUP");
+    until(&stage.log, "the configuration stays as it was");
+    let moved = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut config = stage.config.clone();
+    config["feed"] = moved.local_addr().unwrap().to_string().into();
+    std::fs::write(&stage.file, config.to_string()).unwrap();
+    stage.signal("-HUP");
+    let (_new, last) = feed(&moved);
+    assert_eq!(last, 2, "it goes on from the last event held");
+    cache.say(&fetch[1], "HIT", "-", "undisturbed");
+    assert!(client.hear().unwrap().ends_with("undisturbed"));
+}
+
+#[test]
+fn a_second_copy_of_an_answer_is_not_taken_for_that_of_the_next_attempt() {
+    let stage = Stage::new(|_| {});
+    let mut client = stage.client();
+    client.ask(1, "page-bits", "5000", &[], b"");
+    let (at, mut cache) = home(&stage);
+    let fetch = cache.hear().unwrap();
+    // Twice the same, and one for nothing that was asked: the next attempt must not end by them.
+    cache.say(&fetch[1], "NONE", "tell=not_there", "");
+    cache.say(&fetch[1], "NONE", "tell=not_there", "");
+    cache.say("00000000000000ff", "HIT", "-", "not asked for");
+    let mut again = link(&stage.caches[at]);
+    let fetch = again.hear().unwrap();
+    again.say(&fetch[1], "HIT", "-", "filled");
+    assert!(client.hear().unwrap().ends_with("filled"));
+}
+
+#[test]
+fn clients_that_say_nothing_or_never_finish_are_told_and_closed() {
+    let stage = Stage::new(|_| {});
+    let [mut silent, mut half, mut usual] = [0; 3].map(|_| stage.client());
+    half.0.write_all(&[0, 0, 1, 0, 10]).unwrap();
+    usual.send(20, 1, &[0]);
+    for client in [&mut silent, &mut half] {
+        assert!(client.hear().unwrap().starts_with("type 11 stream 0"));
+        assert_eq!(client.hear(), None);
+    }
+    // One between two requests stays.
+    usual.send(20, 2, &[0]);
+    assert!(usual.hear().unwrap().starts_with("type 21 stream 1"));
+    assert!(usual.hear().unwrap().starts_with("type 21 stream 2"));
+}
+
+#[test]
+fn an_answer_that_stops_short_moves_its_request() {
+    let stage = Stage::new(|_| {});
+    let mut client = stage.client();
+    client.ask(1, "page-bits", "5000", &[], b"");
+    let (at, mut cache) = home(&stage);
+    let fetch = cache.hear().unwrap();
+    let begun = format!("*4\r\n$16\r\n{}\r\n$3\r\nHIT\r\n$1\r\n-\r\n$900\r\nhal", fetch[1]);
+    cache.0.get_mut().write_all(begun.as_bytes()).unwrap();
+    let mut other = link(&stage.caches[1 - at]);
+    let fetch = other.hear().unwrap();
+    other.say(&fetch[1], "HIT", "-", "whole");
+    assert!(client.hear().unwrap().ends_with("whole"));
+}
+
 #[test]
 fn at_the_cap_an_idle_connection_makes_room_for_a_new_one() {
     let stage = Stage::new(|config| config["limits"]["sockets"] = 96.into());
--- a/src/api.rs
+++ b/src/api.rs
@@ -233,6 +233,8 @@
     pub closed: bool,
     /// How it ended.
     pub status: Status,
+    /// It ended along with another attempt on the same broken connection, which is told of by itself.
+    pub along: bool,
     /// What is told of the fill.
     pub note: Note,
     /// Time to the source's first byte or to its failure; 0 when not told.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -73,6 +73,10 @@
 /// left; purges are remembered this much longer than members may hold old copies.
 const WRITE_PAUSE: f64 = 0.1;
 const LEFT_LEAST: Span = 5 * MS;
+/// Members that answer a request with an error before it is given up: the request is at fault, not they.
+const ERRORS_MOST: usize = 2;
+/// Share of its time that a request waits at most while nothing of it was sent: its client can ask elsewhere.
+const WAIT_MOST: f64 = 0.5;
 const PURGE_SLACK: Span = 1_000 * MS;
 
 // ------------------------------------------------------------------------------------------------ health
@@ -440,24 +444,7 @@
         self.retries = (self.retries + RETRY_RATIO).min(EXTRA_BURST);
         let again = self.seen.again((ask.object, ask.part), self.now, KEEP_MEMORY);
         let id = ask.id;
-        let req = Pending {
-            aim_at: self.now + class.aim + (class.aim_stretch * work) as Span,
-            deadline: self.now + ask.left,
-            ask,
-            class,
-            work,
-            attempts: Vec::new(),
-            failed: Vec::new(),
-            failed_sources: Vec::new(),
-            missed: false,
-            lacks: false,
-            waits: None,
-            hold_until: None,
-            stale: false,
-            again,
-            may_have_run: None,
-            done: false,
-        };
+        let req = Pending::new(ask, class, work, self.now, again);
         self.pending.insert(id, req);
         self.next_attempt(id);
     }
@@ -475,6 +462,8 @@
             if !waited {
                 // It waits for as long as an answer can still be in time.
                 let wait = req.aim_at.min(req.deadline).saturating_sub(self.now + req.work as Span);
+                let most = (req.deadline.saturating_sub(self.now) as f64 * WAIT_MOST) as Span;
+                let wait = if req.attempts.is_empty() { wait.min(most) } else { wait };
                 self.wake(wait.max(MS), Due::Wait(id));
             }
         }
@@ -516,7 +505,7 @@
 
     /// Rule of effects: what may have run is repeated only as its class allows.
     fn may_repeat(&self, req: &Pending) -> bool {
-        if req.attempts.len() >= self.settings.max_attempts as usize {
+        if req.attempts.len() >= self.settings.max_attempts as usize || req.errors.len() >= ERRORS_MOST {
             return false;
         }
         match (req.may_have_run, req.class.effect) {
@@ -764,6 +753,9 @@
         match status {
             Status::Ok => {
                 self.served(target, sent);
+                // What is served here is a good request: who answered it with an error is at fault.
+                let errors = std::mem::take(&mut req.errors);
+                errors.into_iter().for_each(|(at, sent)| self.failed(at, sent, Failure::Error));
                 // What came by way of the origin tells of the parent no more than that it answers. A late
                 // fill is no failure, but no sign of life either: attempts that are overdue count (`blame`).
                 let by_origin = note == Note::FilledByOrigin;
@@ -776,7 +768,7 @@
                     self.pace(Spot::Member(filled.unwrap_or(target)), in_time, false);
                 }
             }
-            Status::Moot => {}
+            Status::Moot => req.failed.push(target),
             Status::Cancelled => req.failed.push(target),
             Status::Miss if other.is_none() => req.missed = true,
             _ if by_source.is_some() => {
@@ -799,8 +791,11 @@
                 req.failed.push(target);
                 overload = status == Status::Full;
                 match status {
+                    // All that one broken connection carried is one failure, not many.
+                    Status::ConnectFailed | Status::Reset if outcome.along => {}
                     Status::ConnectFailed | Status::Reset => fault = Some((target, Failure::Lost)),
-                    Status::Error => fault = Some((target, Failure::Error)),
+                    // Bad requests get errors from all: nothing is said of this one before another serves it.
+                    Status::Error => req.errors.push((target, sent)),
                     Status::Timeout => self.pace(Spot::Member(other.unwrap_or(target)), false, false),
                     Status::Full if note != Note::NoPlace => self.pace(Spot::Member(target), false, true),
                     _ => {}
--- a/src/state.rs
+++ b/src/state.rs
@@ -238,6 +238,8 @@
     /// Caches that failed this request, and sources, once for each failure.
     pub failed: Vec<usize>,
     pub failed_sources: Vec<usize>,
+    /// Members that answered it with an error, and when they were sent it.
+    pub errors: Vec<(usize, Time)>,
     /// The cache was asked for what it holds and lacks it.
     pub missed: bool,
     /// The parent was asked for what it holds and lacks it: a fill goes by way of the origin.
@@ -256,6 +258,29 @@
 }
 
 impl Pending {
+    /// A request that came `now`, of which nothing is sent yet.
+    pub fn new(ask: Request, class: Class, work: f64, now: Time, again: bool) -> Self {
+        Pending {
+            aim_at: now + class.aim + (class.aim_stretch * work) as Span,
+            deadline: now + ask.left,
+            ask,
+            class,
+            work,
+            attempts: Vec::new(),
+            failed: Vec::new(),
+            failed_sources: Vec::new(),
+            errors: Vec::new(),
+            missed: false,
+            lacks: false,
+            waits: None,
+            hold_until: None,
+            stale: false,
+            again,
+            may_have_run: None,
+            done: false,
+        }
+    }
+
     pub fn safe(&self) -> bool {
         self.class.effect == Effect::Safe
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -88,6 +88,8 @@
     pub answers: BTreeMap<RequestId, Action>,
     pub checker: Checker,
     pub trace: Vec<Action>,
+    /// Attempts end along with others.
+    pub along: bool,
 }
 
 impl Stand {
@@ -101,6 +103,7 @@
             log: Vec::new(),
             answers: BTreeMap::new(),
             trace: Vec::new(),
+            along: false,
         };
         stand.tell(Event::Members(ListKind::Full, members));
         stand
@@ -162,7 +165,18 @@
         let over = self.checker.closed(sent.request);
         let (request, attempt) = (sent.request, sent.number);
         let closed = over || status == Status::Ok;
-        self.tell(Event::Outcome(Outcome { request, attempt, closed, status, note, waited, latency, report }))
+        let along = self.along;
+        self.tell(Event::Outcome(Outcome {
+            request,
+            attempt,
+            closed,
+            status,
+            along,
+            note,
+            waited,
+            latency,
+            report,
+        }))
     }
 
     pub fn served(&mut self, sent: &Sent) {
--- a/tests/incidents.rs
+++ b/tests/incidents.rs
@@ -507,3 +507,68 @@
     let sent = crowd(&mut stand, 5_000..5_060).len();
     assert!(sent >= 36, "{sent} of three times twenty at once");
 }
+
+#[test]
+fn requests_that_no_member_can_use_condemn_none() {
+    // Bad clients' requests, answered with an error by whoever got them, took all caches DOWN.
+    let mut stand = Stand::new(settings(), usual());
+    for id in 1..=40 {
+        let mut next = stand.ask(ask(id, id));
+        while let Some(attempt) = next.first().cloned() {
+            next = stand.end(&attempt, Status::Error, Note::None, 0);
+        }
+    }
+    assert_eq!((stand.log.len(), stand.sent.len(), stand.answers.len()), (0, 80, 40), "{:?}", stand.log);
+    // One that answers with an error what another serves is at fault.
+    for id in 101..=120 {
+        let first = stand.ask(ask(id, id)).remove(0);
+        let bad = |attempt: &Sent| attempt.target == 10;
+        let next = stand.end(&first, if bad(&first) { Status::Error } else { Status::Ok }, Note::Hit, 0);
+        next.iter().for_each(|attempt| stand.served(attempt));
+    }
+    assert!(stand.log.iter().any(|l| l.contains("Cache a DOWN")), "{:?}", stand.log);
+}
+
+#[test]
+fn what_one_broken_connection_carried_is_one_failure() {
+    // One spoilt answer broke a connection with four attempts on it, and its parent went DOWN.
+    for (along, down) in [(true, 0), (false, 1)] {
+        let mut stand = Stand::new(settings(), usual());
+        let home = stand.ask(ask(1, 5)).remove(0);
+        let more: Vec<_> = (2..=4).flat_map(|id| stand.ask(ask(id, 5))).collect();
+        assert!(more.iter().all(|s| s.target == home.target));
+        stand.end(&home, Status::Reset, Note::None, 0);
+        stand.along = along;
+        more.iter().for_each(|attempt| drop(stand.end(attempt, Status::Reset, Note::None, 0)));
+        let lost = stand.log.iter().filter(|l| l.contains("DOWN")).count();
+        assert_eq!(lost, down, "{:?}", stand.log);
+    }
+}
+
+#[test]
+fn an_attempt_without_a_connection_goes_elsewhere_and_condemns_none() {
+    // Descriptors were used up: each attempt counted as a lost one, six of a request in a row.
+    let mut stand = Stand::new(settings(), usual());
+    for id in 1..=20 {
+        let first = stand.ask(ask(id, id)).remove(0);
+        let next = stand.end(&first, Status::Moot, Note::None, 0).remove(0);
+        assert_ne!(next.target, first.target);
+        stand.served(&next);
+    }
+    assert_eq!(stand.log, Vec::<String>::new());
+}
+
+#[test]
+fn a_request_of_which_nothing_was_sent_is_refused_at_half_its_time() {
+    // Requests waited for room till an answer could no longer be in time, which was past half of their time.
+    let mut stand = Stand::new(settings(), usual());
+    let mut held = crowd(&mut stand, 1..2000);
+    let short = Request { left: 600 * MS, size_kb: 100.0, ..ask(5000, 5000) };
+    held.extend(stand.ask(short));
+    assert!(held.iter().all(|s| s.request.0 != 5000), "there is no room left");
+    let begun = stand.now;
+    while !stand.answers.contains_key(&RequestId(5000)) {
+        stand.advance(5 * MS);
+    }
+    assert!(stand.now <= begun + 310 * MS, "after {} us", stand.now - begun);
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -126,6 +126,7 @@
 fn outcome(status: Status) -> Event {
     let (request, note) = (RequestId(1), Note::None);
     Event::Outcome(Outcome {
+        along: false,
         request,
         attempt: 0,
         closed: false,
