Take the link for full where fills slow down clients, and look first only past the limit

Checked: a probe printed the state of room where a request was given up. All waited for the link; its limit had fallen from 42 to 17 while reports said 0.1 to 0.9 of what fits, with 2.1 now and then. Attempts that name a source count as fills there, but about half are hits. Ruled out: health (none DOWN), caches (room at most times), parents.

At fault: policy.rs, LINK_FULL 1.5 (a fill runs 2 to 4 times as fast as a client takes it, so up to 3 times what fits holds up none) and LOOK_FIRST 0.5 (it asked twice at a quarter of the limit in real fills).

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -49,15 +49,16 @@
 /// Size of the origin, which is not told, over that of all parents; its share of late answers if it is slow.
 const ORIGIN_SIZE: f64 = 0.25;
 const ORIGIN_LATE: f64 = 0.4;
-/// Transfers on the link into the zone, over those that fit at full pace, from which it is full: it is busy
-/// then, and each transfer still near the pace of a client. And how old a report may be.
-const LINK_FULL: f64 = 1.5;
+/// Transfers on the link into the zone, over those that fit at full pace, from which it is full: a fill runs
+/// two to four times as fast as a client takes it, so up to there it holds up none. And how old a report may
+/// be.
+const LINK_FULL: f64 = 3.0;
 const LINK_LEAST: f64 = 0.2;
 const REPORT_FRESH: Span = 1_000 * MS;
-/// Share of late answers of a member up to which it is calm; share of a source's limit from which a cache is
-/// first asked for what it holds alone.
+/// Share of late answers of a member up to which it is calm; attempts that name a source, over its limit, from
+/// which a cache is first asked for what it holds alone: about half of them are hits that never reach it.
 const CALM_LATE: f64 = 0.1;
-const LOOK_FIRST: f64 = 0.5;
+const LOOK_FIRST: f64 = 2.0;
 /// Further attempts after a refusal for lack of room, and second copies of overdue attempts, for each first
 /// attempt, and how many of each may be saved up. More would turn an overload into a storm.
 const RETRY_RATIO: f64 = 0.1;
@@ -555,10 +556,10 @@
                 Some(spot) => Plan::Wait(spot),
             };
         }
-        // Where fills are many, a hit is not to wait behind them: look first, fill when there is room.
-        let half = |p: &Pace| f64::from(p.held) >= p.limit * LOOK_FIRST;
-        let link = self.link_told.is_some() && half(&self.link) || self.link_told() > Some(LINK_FULL);
-        let look = (link || half(&self.members[source].pace)) && self.slow_origin(source).is_none();
+        // Where a fill finds no room, a hit is not to wait behind it: look first, fill when there is some.
+        let full = |p: &Pace| f64::from(p.held) >= p.limit * LOOK_FIRST;
+        let link = self.link_told.is_some() && full(&self.link) || self.link_told() > Some(LINK_FULL);
+        let look = (link || full(&self.members[source].pace)) && self.slow_origin(source).is_none();
         Plan::Go(target, Some(if look { target } else { source }))
     }
 
