--- a/src/policy.rs
+++ b/src/policy.rs
@@ -55,10 +55,11 @@
 const LINK_FULL: f64 = 3.0;
 const LINK_LEAST: f64 = 0.2;
 const REPORT_FRESH: Span = 1_000 * MS;
-/// Share of late answers of a member up to which it is calm; attempts that name a source, over its limit, from
-/// which a cache is first asked for what it holds alone: about half of them are hits that never reach it.
+/// Share of late answers of a member up to which it is calm.
 const CALM_LATE: f64 = 0.1;
-const LOOK_FIRST: f64 = 2.0;
+/// Attempts that name a source, over its limit, from which a cache is first asked for what it holds alone:
+/// about half of them are hits that never reach it. What has missed is held to the limit itself.
+const NAMED_MOST: f64 = 2.0;
 /// Further attempts after a refusal for lack of room, and second copies of overdue attempts, for each first
 /// attempt, and how many of each may be saved up. More would turn an overload into a storm.
 const RETRY_RATIO: f64 = 0.1;
@@ -140,6 +141,11 @@
     }
 }
 
+/// Whether those that name a source, or the link, are too many for the hits among them to wait.
+fn crowded(pace: &Pace) -> bool {
+    f64::from(pace.held) >= pace.limit * NAMED_MOST
+}
+
 /// One router's decisions. Deterministic: the same settings and events give the same actions.
 #[derive(Debug)]
 pub struct Router {
@@ -557,9 +563,8 @@
             };
         }
         // Where a fill finds no room, a hit is not to wait behind it: look first, fill when there is some.
-        let full = |p: &Pace| f64::from(p.held) >= p.limit * LOOK_FIRST;
-        let link = self.link_told.is_some() && full(&self.link) || self.link_told() > Some(LINK_FULL);
-        let look = (link || full(&self.members[source].pace)) && self.slow_origin(source).is_none();
+        let link = self.link_told.is_some() && crowded(&self.link) || self.link_told() > Some(LINK_FULL);
+        let look = (link || crowded(&self.members[source].pace)) && self.slow_origin(source).is_none();
         Plan::Go(target, Some(if look { target } else { source }))
     }
 
