Let misses go while the link only seems taken, and spare kept copies after a restart

Checked: a probe where requests are given up. A front that has just started marks all hits with rank 1, as it remembers nothing, and so puts what is often asked for on a level with one-offs.

At fault: policy.rs, fill_waits; parts.rs, Seen::again in its first span.

--- a/src/parts.rs
+++ b/src/parts.rs
@@ -87,17 +87,20 @@
     new: BTreeSet<K>,
     old: BTreeSet<K>,
     since: Time,
+    /// When it was asked first: before it has seen a whole span it can't tell what is new.
+    began: Option<Time>,
 }
 
 impl<K> Default for Seen<K> {
     fn default() -> Self {
-        Seen { new: BTreeSet::new(), old: BTreeSet::new(), since: 0 }
+        Seen { new: BTreeSet::new(), old: BTreeSet::new(), since: 0, began: None }
     }
 }
 
 impl<K: Ord> Seen<K> {
-    /// Notes a key; whether it was seen in the last one or two spans.
+    /// Notes a key; whether it was seen in the last one or two spans, or may have been.
     pub fn again(&mut self, key: K, now: Time, span: Span) -> bool {
+        let young = now < *self.began.get_or_insert(now) + span;
         if now >= self.since + span {
             self.old = std::mem::take(&mut self.new);
             if now >= self.since + 2 * span {
@@ -106,7 +109,7 @@
             self.since = now;
         }
         let before = self.old.contains(&key);
-        !self.new.insert(key) || before
+        !self.new.insert(key) || before || young
     }
 }
 
@@ -229,6 +232,8 @@
     #[test]
     fn keys_are_remembered_for_one_to_two_spans() {
         let mut seen = Seen::default();
+        // Guards against a restart that makes light of all that was kept for good reason before.
+        assert!(seen.again(0, 50, 50) && seen.again(7, 99, 50), "it can't tell what is new yet");
         assert!(!seen.again(1, 100, 50));
         assert!(seen.again(1, 140, 50));
         assert!(seen.again(1, 160, 50));
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -368,7 +368,7 @@
         let lack = |room: bool, spot: Spot| (!room).then_some(spot);
         let behind = self.slow_origin(source).filter(|at| lacks && !self.room(*at));
         let here = lack(self.room(source), Spot::Member(source))
-            .or(lack(self.link_told.is_none() || self.link.room(self.now), Spot::Link));
+            .or(lack(self.link_told.is_none() || !crowded(&self.link), Spot::Link));
         here.or(behind.map(Spot::Member))
     }
 
--- a/tests/incidents.rs
+++ b/tests/incidents.rs
@@ -417,6 +417,9 @@
 fn what_is_asked_for_again_is_kept_at_a_higher_rank_than_one_offs() {
     let mut stand = Stand::new(settings(), usual());
     let rank = |sent: &[Sent]| sent[0].fill.unwrap().rank;
+    // At first it can't tell one from the other, and must not make light of what is kept already.
+    assert_eq!(rank(&stand.ask(ask(9, 9))), 2);
+    stand.advance(11 * S);
     assert_eq!(rank(&stand.ask(ask(1, 5))), 1);
     stand.advance(3 * S);
     assert_eq!((rank(&stand.ask(ask(2, 5))), rank(&stand.ask(ask(3, 6)))), (2, 1));
@@ -603,3 +606,17 @@
         assert_eq!(looks == 0 && stand.answers.is_empty(), calm, "{looks} looks at {told}");
     }
 }
+
+#[test]
+fn what_missed_does_not_wait_behind_attempts_that_only_name_a_source() {
+    // A front that served its zone alone held misses back while the link was half empty: hits had its places.
+    let mut stand = Stand::new(Settings { link_kb_per_s: 4_000.0, ..settings() }, usual());
+    let told = Some(Report { link: Some(0.5), ..Report::default() });
+    let first = stand.ask(ask(1, 1)).remove(0);
+    stand.end_with(&first, Status::Ok, Note::Hit, 0, told);
+    // Twelve transfers of the link are this router's; more attempts than that name a source.
+    let out = crowd(&mut stand, 2..20);
+    assert!(out.iter().all(|s| s.source != Some(s.target)), "none had to look");
+    let next = stand.end(&out[0], Status::Full, Note::SourceLacks, 0);
+    assert!(next.iter().any(|s| s.request == out[0].request), "it goes on at once: {next:?}");
+}
