Ask parents straight where no cache has room, and serve reads only with their copy named

Checked: two of a zone's three caches drained within five seconds; requests waited for the third up to half their time (99th percentile to the first attempt 623 ms) and were then refused, while the settings allow to ask a parent straight and none was busy. At fault: policy.rs, plan, where the chosen cache has no room.

A read answered without its copy's tag or time is spoilt: its connection goes and the request is repeated. Also: a client is remembered for no longer than its class's time; a connection silent for a second up to when its attempt is given up gets no other; new connections are taken last in a turn.

--- a/front/src/program/clients.rs
+++ b/front/src/program/clients.rs
@@ -63,6 +63,8 @@
     pub leaving: bool,
     held: usize,
     lost: Vec<Heard>,
+    /// Lines for the log.
+    pub notes: Vec<String>,
     scratch: Vec<u8>,
 }
 
@@ -198,6 +200,10 @@
             idle || c.ends.is_some_and(|at| now > at)
         };
         let stale: Vec<_> = self.all.iter().filter(|(_, c)| stale(c)).map(|(key, _)| *key).collect();
+        let stalled = stale.iter().filter(|key| !self.all[key].stream.flushed()).count();
+        if stalled > 0 {
+            self.notes.push(format!("{stalled} clients given up that take nothing"));
+        }
         let mut gone: Vec<_> = stale.into_iter().flat_map(|key| self.drop(key)).collect();
         while self.held > held_most {
             let most = self.all.iter().max_by_key(|(key, c)| (c.stream.held(), **key)).map(|(key, _)| *key);
--- a/front/src/program/members.rs
+++ b/front/src/program/members.rs
@@ -19,6 +19,9 @@
 /// An answer of which nothing more comes for this long is broken off, and whatever is behind it with it.
 const PART_MOST: Span = 500_000;
 
+/// A connection on which nothing came for this long, up to when an attempt is given up, gets no other.
+const SILENT_MOST: Span = 1_000_000;
+
 /// Attempts that ended.
 pub type Ends = Vec<(AttemptId, End)>;
 
@@ -26,6 +29,8 @@
 #[derive(Debug)]
 struct Sent {
     attempt: AttemptId,
+    since: Time,
+    write: bool,
     /// All of it.
     written: bool,
 }
@@ -198,7 +203,7 @@
             return None;
         };
         link.carried.add(now, fetch.txn);
-        link.open.insert(fetch.txn, Sent { attempt, written: false });
+        link.open.insert(fetch.txn, Sent { attempt, since: now, write: fetch.write, written: false });
         link.stream.push(member::fetch(fetch, now));
         self.at.insert(attempt, (key, fetch.txn));
         self.flush(now, key, ends);
@@ -209,8 +214,10 @@
     pub fn abort(&mut self, now: Time, attempt: AttemptId, ends: &mut Ends) {
         let Some((key, txn)) = self.at.remove(&attempt) else { return };
         let Some(link) = self.links.get_mut(&key) else { return };
-        link.open.remove(&txn);
+        let sent = link.open.remove(&txn);
         link.idle_since = now;
+        // An answer that never comes leaves a connection that is of no further use, open as it may be.
+        link.retired |= sent.is_some_and(|sent| link.heard < sent.since && now > sent.since + SILENT_MOST);
         if link.stream.take_back(|tag| *tag == Some(txn)) {
             return;
         }
@@ -274,9 +281,14 @@
                 else {
                     break;
                 };
+                // Guards against passing on what no member made: all that is served but a write names its copy.
+                let known = std::str::from_utf8(id).ok().and_then(Txn::new);
+                let read = known.and_then(|txn| link.open.get(&txn)).is_some_and(|sent| !sent.write);
+                if read && reply.nameless() {
+                    return Err(io::ErrorKind::InvalidData.into());
+                }
                 // An answer to what was given up, or to nothing that was asked, is dropped.
-                let txn = std::str::from_utf8(id).ok().and_then(Txn::new);
-                if let Some(sent) = txn.and_then(|txn| link.open.remove(&txn)) {
+                if let Some(sent) = known.and_then(|txn| link.open.remove(&txn)) {
                     self.at.remove(&sent.attempt);
                     ends.push((sent.attempt, End::Reply(reply)));
                 }
@@ -341,3 +353,44 @@
         self.of.retain(|_, keys| !keys.is_empty());
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::transport::Reactor;
+
+    fn fetch(n: u64) -> Fetch {
+        Fetch {
+            txn: Txn::new(&format!("{n:016x}")).unwrap(),
+            class: "page-bits".into(),
+            item: None,
+            part: 0,
+            deadline: 60_000_000,
+            fill: None,
+            seen: None,
+            write: false,
+            body: b"".as_slice().into(),
+        }
+    }
+
+    #[test]
+    fn a_connection_on_which_an_answer_never_came_gets_no_other_request() {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let (reactor, mut ends) = (Reactor::new().unwrap(), Vec::new());
+        let mut members = Members::new(9, 100, 15_000_000);
+        let state = Listed::Ready;
+        let (member, weight) = (MemberId(1), 1.0);
+        let entry = Entry { member, kind: 0, zone: 0, cell: 0, weight, started: 0, state };
+        members.list(&entry, listener.local_addr().unwrap());
+        let mut begins = |now: Time, n: u64, out: Span| {
+            let attempt = AttemptId { request: cranesill::api::RequestId(n), number: 0 };
+            let begun = members.send(now, &reactor, n as usize, (attempt, member), &fetch(n), &mut ends);
+            members.abort(now + out, attempt, &mut ends);
+            begun.is_some()
+        };
+        assert!(begins(0, 1, 10_000));
+        // Given up soon it says nothing; after long silence the connection is of no further use.
+        assert!(!begins(20_000, 2, 2_000_000));
+        assert!(begins(3_000_000, 3, 10_000));
+    }
+}
--- a/front/src/program/serve.rs
+++ b/front/src/program/serve.rs
@@ -65,7 +65,7 @@
         let listener = reactor.watch(listener, LISTENER, false).map_err(failed("poller"))?;
         let term = raised(&reactor, signal_hook::consts::SIGTERM, TERM).map_err(failed("signals"))?;
         let hangup = raised(&reactor, signal_hook::consts::SIGHUP, HANGUP).map_err(failed("signals"))?;
-        let limits = config.deployment.limits;
+        let limits = config.deployment.limits.clone();
         let (last, known) = std::mem::take(&mut config.known);
         let mut server = Server {
             front: Front::new(config.deployment.clone(), config.seed, config.room()),
@@ -103,8 +103,9 @@
         let next = self.deadlines.next();
         let mut events = self.reactor.wait(self.clock.now(), next).map_err(|e| format!("poller: {e}"))?;
         let now = self.clock.now();
-        // What the feed tells is heeded before anything is sent in the same turn.
-        events.sort_by_key(|(key, ..)| !self.feed.is(*key));
+        // What the feed tells is heeded before anything is sent in the same turn; new connections come last, since
+        // room for them is made by closing those of which nothing was read yet.
+        events.sort_by_key(|(key, ..)| (*key == LISTENER, !self.feed.is(*key)));
         for (key, readable, writable) in events {
             self.event(now, key, readable, writable);
         }
@@ -161,6 +162,7 @@
             Due::Feed => {}
             Due::Sweep => {
                 let gone = self.clients.sweep(now, self.config.room().bytes, self.config.held_most());
+                std::mem::take(&mut self.clients.notes).iter().for_each(|line| self.log.line(now, line));
                 self.hear(now, gone);
                 self.members.sweep(now, &mut ends);
                 self.listen(true);
--- a/front/src/protocol/member.rs
+++ b/front/src/protocol/member.rs
@@ -110,10 +110,12 @@
         b"LATE" => Word::Late,
         _ => Word::Other,
     };
-    let mut reply = MemberReply { word, body: body.into(), note: Note::None, waited: 0, meter: Vec::new() };
+    let mut reply = MemberReply { word, body: body.into(), ..MemberReply::default() };
     let fields = std::str::from_utf8(fields).map_err(|_| Unreadable("fields are no text"))?;
     for (name, value) in fields.split(',').filter_map(|f| f.split_once('=')) {
         match name {
+            "ver" => reply.tagged = !value.is_empty(),
+            "born" => reply.dated = value.parse::<u64>().is_ok(),
             "tell" => reply.note = note(value),
             "waited" => reply.waited = (value.parse::<f64>().unwrap_or(0.0).max(0.0) * 1e3) as u64,
             "meter" => {
@@ -169,6 +171,7 @@
             deadline: 1_250_000,
             fill: Some(fill),
             seen: Some("4be0".into()),
+            write: false,
             body: b"".as_slice().into(),
         };
         let text = |ask: &Fetch| {
@@ -207,5 +210,11 @@
             assert!(decode(bad).is_err(), "{}", String::from_utf8_lossy(bad));
         }
         assert!(decode(b"*4\r\n$1\r\nabc").is_err());
+        for (fields, named) in [("ver=a,born=5", true), ("ver=,born=5", false), ("ver=ab,born=x", false)] {
+            let n = fields.len();
+            let answer = format!("*4\r\n$1\r\na\r\n$3\r\nHIT\r\n${n}\r\n{fields}\r\n$0\r\n\r\n");
+            let (_, reply, _) = decode(answer.as_bytes()).unwrap().unwrap();
+            assert_eq!(reply.tagged && reply.dated, named, "{fields}");
+        }
     }
 }
--- a/front/src/routing/mod.rs
+++ b/front/src/routing/mod.rs
@@ -25,6 +25,8 @@
     from: ReplyTo,
     ask: Rc<Ask>,
     deadline: Time,
+    /// Its class runs at the origin and leaves no copy.
+    write: bool,
     /// Attempts sent so far.
     sent: u16,
 }
--- a/front/src/routing/send.rs
+++ b/front/src/routing/send.rs
@@ -34,6 +34,7 @@
                 renew: fill.renew,
             }),
             seen: open.ask.have.clone(),
+            write: open.write,
             body: Rc::clone(&open.ask.body),
         };
         self.commands.push_back(Command::Wake(deadline, Wake::Attempt(attempt)));
--- a/front/src/routing/take_in.rs
+++ b/front/src/routing/take_in.rs
@@ -8,13 +8,16 @@
 impl Front {
     /// Takes in a client's request that came whole at `now`.
     pub fn take_in(&mut self, now: Time, from: ReplyTo, ask: Ask) {
-        let deadline = now + ask.limit - MARGIN.min(ask.limit / 2);
         let class = self.deployment.names.classes.iter().position(|name| *name == ask.class);
         let write = class.is_some_and(|c| self.deployment.settings.classes[c].write);
         // Only what runs at the origin can do without an object.
         let Some(class) = class.filter(|_| write || ask.item.is_some()) else {
             return self.answer(from, Answer::Failed);
         };
+        // A client that claims to wait for weeks would have its deadlines remembered for as long.
+        let most = Some(self.deployment.limits.waits[class]).filter(|most| *most > 0);
+        let limit = ask.limit.min(most.unwrap_or(Span::MAX));
+        let deadline = now + limit - MARGIN.min(limit / 2);
         self.last += 1;
         let request = Request {
             id: RequestId(self.last),
@@ -25,7 +28,7 @@
             size_kb: 0.0,
             left: deadline - now,
         };
-        self.admit(now, Open { from, ask: Rc::new(ask), deadline, sent: 0 }, request);
+        self.admit(now, Open { from, ask: Rc::new(ask), deadline, write, sent: 0 }, request);
     }
 
     /// Nobody waits for this stream any more.
--- a/front/src/routing/tests.rs
+++ b/front/src/routing/tests.rs
@@ -1,5 +1,4 @@
 use super::*;
-use cranesill::api::Note;
 use serde_json::Value;
 
 const S: Time = 1_000_000;
@@ -57,6 +56,18 @@
     assert_eq!(answers(&mut front), [Answer::Refused(500_000)]);
 }
 
+#[test]
+fn a_client_that_claims_to_wait_for_weeks_is_remembered_for_no_longer_than_its_class() {
+    let mut front = with_origin(Room { open: 10, bytes: 96 << 20 });
+    let (from, first) = ask(1);
+    front.take_in(S, from, Ask { limit: u64::from(u32::MAX) * 1_000, ..first });
+    let last = std::iter::from_fn(|| front.command()).filter_map(|c| match c {
+        Command::Wake(at, Wake::Request(_) | Wake::Attempt(_)) => Some(at),
+        _ => None,
+    });
+    assert!(last.max().is_some_and(|at| at <= S + 3 * S));
+}
+
 #[test]
 fn an_end_counts_once_and_so_does_an_answer() {
     let mut front = with_origin(Room { open: 10, bytes: 96 << 20 });
@@ -70,7 +81,7 @@
     };
     let reply = |word| {
         let body = b"booked".as_slice().into();
-        End::Reply(MemberReply { word, body, note: Note::None, waited: 0, meter: Vec::new() })
+        End::Reply(MemberReply { word, body, ..MemberReply::default() })
     };
     front.ended(2 * S, attempt, reply(Word::Hit));
     front.ended(2 * S, attempt, reply(Word::Fault));
--- a/front/src/routing/types.rs
+++ b/front/src/routing/types.rs
@@ -6,6 +6,13 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Txn([u8; 16]);
 
+impl MemberReply {
+    /// Whether it serves from a copy that it does not name, as no member's good answer does.
+    pub fn nameless(&self) -> bool {
+        matches!(self.word, Word::Hit | Word::Valid) && !(self.tagged && self.dated)
+    }
+}
+
 impl Txn {
     /// From the digits.
     pub fn new(text: &str) -> Option<Self> {
@@ -90,11 +97,13 @@
     pub deadline: Time,
     pub fill: Option<Source>,
     pub seen: Option<Rc<str>>,
+    /// It runs at the origin and leaves no copy.
+    pub write: bool,
     pub body: Rc<[u8]>,
 }
 
 /// What a member's answer says first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Word {
     Hit,
     Valid,
@@ -103,16 +112,20 @@
     Fault,
     Late,
     /// Nothing that a fetch is answered with.
+    #[default]
     Other,
 }
 
 /// The answer of a member.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct MemberReply {
     pub word: Word,
     pub body: Rc<[u8]>,
     pub note: Note,
     pub waited: Span,
+    /// It names the copy's tag, and when the origin gave it out.
+    pub tagged: bool,
+    pub dated: bool,
     /// Its load report: names and figures.
     pub meter: Vec<(String, f32)>,
 }
--- a/front/tests/common/mod.rs
+++ b/front/tests/common/mod.rs
@@ -44,6 +44,8 @@
         let (caches, origin, feed) = ([bound(), bound()], bound(), bound());
         let mut config: Value = serde_json::from_str(include_str!("../../examples/config.json")).unwrap();
         config["listen"] = "127.0.0.1:0".into();
+        // The stories' clients have time.
+        (0..3).for_each(|class| config["settings"]["classes"][class]["deadline"] = 60_000_000.into());
         config["feed"] = feed.local_addr().unwrap().to_string().into();
         config["known"]["events"][0]["members"]["instances"] = json!([
             member(CACHES[0], &caches[0], "edge-1", "small-box"),
@@ -180,8 +182,10 @@
         Some(words)
     }
 
-    /// Answers a command.
+    /// Answers a command; what is served names the copy, as a member's answers do.
     pub fn say(&mut self, id: &str, word: &str, fields: &str, body: &str) {
+        let copy = format!("ver=4be0c1927d55a6f3,born=1764576000123,{fields}");
+        let fields = if ["HIT", "VALID"].contains(&word) { &copy } else { fields };
         let parts = [id, word, fields, body].map(|p| format!("${}\r\n{p}\r\n", p.len()));
         self.0.get_mut().write_all(format!("*4\r\n{}", parts.concat()).as_bytes()).unwrap();
     }
--- a/front/tests/stories.rs
+++ b/front/tests/stories.rs
@@ -352,6 +352,7 @@
         other.ask(id, "car-video", "60000", &[], b"");
         assert!(other.hear().unwrap().starts_with(&format!("type 11 stream {id}")));
     }
+    until(&stage.log, "given up that take nothing");
     let taken = slow.iter_mut().map(|client| std::iter::from_fn(|| client.hear()).take(32).count());
     assert!(taken.sum::<usize>() < 4 * 32);
 }
@@ -369,3 +370,17 @@
     });
     insta::assert_debug_snapshot!(told);
 }
+
+#[test]
+fn what_is_served_without_naming_its_copy_is_not_passed_on() {
+    let stage = Stage::new(|_| {});
+    let mut client = stage.client();
+    client.ask(1, "page-bits", "5000", &[], b"");
+    let (at, mut cache) = home(&stage);
+    let fetch = cache.hear().unwrap();
+    cache.say(&fetch[1], "HIT", "born=soon", "spoilt");
+    let mut other = link(&stage.caches[1 - at]);
+    let fetch = other.hear().unwrap();
+    other.say(&fetch[1], "HIT", "-", "good");
+    assert!(client.hear().unwrap().ends_with("good"));
+}
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -52,7 +52,7 @@
 }
 
 /// What the settings say of connections and open requests.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Limits {
     /// Members close connections that were idle for this long.
     pub idle: Span,
@@ -60,6 +60,8 @@
     pub streams: usize,
     /// Requests that an instance may have open.
     pub open: usize,
+    /// How long a client waits at most, over all its tries; by class.
+    pub waits: Vec<Span>,
 }
 
 /// The settings, as far as any part of the project uses them.
@@ -164,6 +166,7 @@
         idle: told("connIdle", 15e6) as Span,
         streams: told("streamsPerConn", 1.0) as usize,
         open: told("openCap", 20_000.0) as usize,
+        waits: v["classes"].as_array().unwrap_or(&none).iter().map(|c| span(c, "deadline")).collect(),
     };
     Ok(Deployment { settings, layout, names, limits })
 }
--- a/src/api.rs
+++ b/src/api.rs
@@ -196,9 +196,10 @@
 }
 
 /// What an answer tells of its fill.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Note {
     /// Nothing.
+    #[default]
     None,
     /// From a copy at hand.
     Hit,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -141,11 +141,6 @@
     }
 }
 
-/// Whether those that name a source, or the link, are too many for the hits among them to wait.
-fn crowded(pace: &Pace) -> bool {
-    f64::from(pace.held) >= pace.limit * NAMED_MOST
-}
-
 /// One router's decisions. Deterministic: the same settings and events give the same actions.
 #[derive(Debug)]
 pub struct Router {
@@ -368,7 +363,7 @@
         let lack = |room: bool, spot: Spot| (!room).then_some(spot);
         let behind = self.slow_origin(source).filter(|at| lacks && !self.room(*at));
         let here = lack(self.room(source), Spot::Member(source))
-            .or(lack(self.link_told.is_none() || !crowded(&self.link), Spot::Link));
+            .or(lack(self.link_told.is_none() || !self.link.over(NAMED_MOST), Spot::Link));
         here.or(behind.map(Spot::Member))
     }
 
@@ -543,7 +538,10 @@
             };
         };
         if !self.room(target) {
-            return Plan::Wait(Spot::Cache);
+            // The parents may carry what the caches left have no room for.
+            let spare = source.filter(|at| self.settings.direct && self.fill_waits(*at, false).is_none());
+            let straight = |at| Plan::Go(at, self.origin().filter(|o| *o != at));
+            return spare.map_or(Plan::Wait(Spot::Cache), straight);
         }
         let Some(source) = source else { return Plan::Go(target, Some(target)) };
         if req.missed {
@@ -563,8 +561,9 @@
             };
         }
         // Where a fill finds no room, a hit is not to wait behind it: look first, fill when there is some.
-        let link = self.link_told.is_some() && crowded(&self.link) || self.link_told() > Some(LINK_FULL);
-        let look = (link || crowded(&self.members[source].pace)) && self.slow_origin(source).is_none();
+        let link =
+            self.link_told.is_some() && self.link.over(NAMED_MOST) || self.link_told() > Some(LINK_FULL);
+        let look = (link || self.members[source].pace.over(NAMED_MOST)) && self.slow_origin(source).is_none();
         Plan::Go(target, Some(if look { target } else { source }))
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -57,6 +57,11 @@
         held + 1.0 <= self.limit || (held < self.limit && now >= self.turn)
     }
 
+    /// Whether so many times the limit are out.
+    pub fn over(&self, times: f64) -> bool {
+        f64::from(self.held) >= self.limit * times
+    }
+
     /// Takes a place, and returns how long the next turn is away if this one was a turn.
     pub fn take(&mut self, now: Time) -> Option<Span> {
         let over = self.limit - f64::from(self.held);
--- a/tests/incidents.rs
+++ b/tests/incidents.rs
@@ -620,3 +620,17 @@
     let next = stand.end(&out[0], Status::Full, Note::SourceLacks, 0);
     assert!(next.iter().any(|s| s.request == out[0].request), "it goes on at once: {next:?}");
 }
+
+#[test]
+fn where_no_cache_has_room_a_parent_that_has_some_is_asked_straight() {
+    // Two of a zone's three caches were gone: requests waited for the third to half their time, parents idle.
+    for direct in [true, false] {
+        let mut small = usual();
+        small[..3].iter_mut().for_each(|cache| cache.weight = 2.0);
+        let mut stand = Stand::new(Settings { direct, ..settings() }, small);
+        let out = crowd(&mut stand, 1..60);
+        let parents = out.iter().filter(|s| s.target == 20 || s.target == 21).count();
+        assert_eq!((parents > 0, out.len() == 59), (direct, direct), "{parents} of {}", out.len());
+        assert_eq!(stand.checker.broken, Vec::<String>::new());
+    }
+}
