Tell in unit tests what guards the front from clients, and from what one connection carried

Each was seen to fail with its guard taken out: rests, messages not taken, who makes room, the end of a connection that is not watched, room kept by connections, attempts that end along with others. No change of behaviour.

--- a/front/src/program/clients.rs
+++ b/front/src/program/clients.rs
@@ -287,3 +287,86 @@
         self.closing = true;
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::io::Write;
+    use std::net::TcpListener;
+
+    const READY: [u8; 11] = [0, 0, 0, 7, 20, 0, 0, 0, 1, 0, 0];
+
+    struct Stage(TcpListener, Reactor, Clients);
+
+    impl Stage {
+        fn new() -> Self {
+            let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+            Stage(listener, Reactor::new().unwrap(), Clients::new())
+        }
+
+        fn client(&mut self, now: Time, key: usize) -> TcpStream {
+            let socket = TcpStream::connect(self.0.local_addr().unwrap()).unwrap();
+            self.2.add(now, &self.1, self.0.accept().unwrap().0, key).unwrap();
+            socket
+        }
+
+        /// Writes, and reads that as the loop would.
+        fn tell(&mut self, now: Time, mut socket: &TcpStream, key: usize, bytes: &[u8]) -> Vec<Heard> {
+            socket.write_all(bytes).unwrap();
+            assert!(self.told(20_000_000), "something came");
+            self.2.read(now, key)
+        }
+
+        /// Whether there is something to read before that long has passed.
+        fn told(&mut self, until: Time) -> bool {
+            // It may be told first that something can be written.
+            (0..3).any(|_| self.1.wait(0, Some(until)).unwrap().iter().any(|event| event.1))
+        }
+    }
+
+    #[test]
+    fn connections_that_never_said_anything_make_room_before_idle_ones() {
+        let mut stage = Stage::new();
+        let usual = stage.client(0, 1);
+        stage.tell(1, &usual, 1, &READY);
+        let _silent = stage.client(2, 2);
+        assert!(stage.2.evict());
+        assert!(stage.2.has(1) && !stage.2.has(2));
+    }
+
+    #[test]
+    fn a_client_that_sends_what_can_not_be_taken_in_rests_and_its_end_is_still_seen() {
+        let mut stage = Stage::new();
+        let client = stage.client(0, 1);
+        let bad = [0, 0, 0, 6, 10, 0, 0, 0, 1, 0];
+        assert!(matches!(stage.tell(1, &client, 1, &bad)[..], [Heard::Bad(..)]));
+        (&client).write_all(&READY).unwrap();
+        assert!(!stage.told(20_000), "nothing is read from it for now");
+        stage.2.sweep(REST + 1, usize::MAX, usize::MAX);
+        assert!(stage.told(20_000_000));
+        // An end that is told while nothing is watched for would be told for ever.
+        let client = stage.client(0, 2);
+        stage.tell(1, &client, 2, &bad);
+        drop(client);
+        assert!(stage.told(20_000_000));
+        stage.2.read(2, 2);
+        assert!(!stage.2.has(2));
+    }
+
+    #[test]
+    fn a_client_that_takes_nothing_is_not_read_from_without_end() {
+        let mut stage = Stage::new();
+        let client = stage.client(0, 1);
+        let request = |stream: u8| [0, 0, 0, 6, 10, 0, 0, 0, stream, 0];
+        let all: Vec<u8> = (1..=32).flat_map(request).collect();
+        stage.tell(1, &client, 1, &all);
+        for stream in 1..=32 {
+            let body = vec![7; 1 << 20].into();
+            stage.2.answer(1, ReplyTo { client: 1, stream }, Answer::Served(body));
+        }
+        stage.2.sweep(REST + 1, usize::MAX, usize::MAX);
+        stage.tell(REST + 1, &client, 1, &READY.repeat(64));
+        (&client).write_all(&READY).unwrap();
+        assert!(!stage.told(20_000), "it has to take some first");
+    }
+}
--- a/front/src/program/members.rs
+++ b/front/src/program/members.rs
@@ -373,19 +373,46 @@
         }
     }
 
+    const MEMBER: MemberId = MemberId(1);
+
+    /// One member behind a listener, and up to so many connections.
+    fn members(links_most: usize, listener: &std::net::TcpListener) -> Members {
+        let mut members = Members::new(links_most, 100, 15_000_000);
+        let state = Listed::Ready;
+        let entry = Entry { member: MEMBER, kind: 0, zone: 0, cell: 0, weight: 1.0, started: 0, state };
+        members.list(&entry, listener.local_addr().unwrap());
+        members
+    }
+
+    fn attempt(n: u64) -> AttemptId {
+        AttemptId { request: cranesill::api::RequestId(n), number: 0 }
+    }
+
+    #[test]
+    fn what_one_connection_carried_ends_as_one_failure_and_others_along_with_it() {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let (reactor, mut ends) = (Reactor::new().unwrap(), Vec::new());
+        let mut members = members(1, &listener);
+        for n in 1..=3 {
+            members.send(0, &reactor, 9, (attempt(n), MEMBER), &fetch(n), &mut ends);
+        }
+        // The same id can't go out twice there, and there is no other connection to be had.
+        members.send(0, &reactor, 9, (attempt(4), MEMBER), &fetch(3), &mut ends);
+        assert!(matches!(ends[..], [(_, End::Unplaced)]));
+        members.undialed(9, &mut ends);
+        let along: Vec<_> = ends[1..].iter().map(|e| matches!(e.1, End::Unsent { along: true })).collect();
+        assert_eq!(along, [false, true, true]);
+    }
+
     #[test]
     fn a_connection_on_which_an_answer_never_came_gets_no_other_request() {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
         let (reactor, mut ends) = (Reactor::new().unwrap(), Vec::new());
-        let mut members = Members::new(9, 100, 15_000_000);
-        let state = Listed::Ready;
-        let (member, weight) = (MemberId(1), 1.0);
-        let entry = Entry { member, kind: 0, zone: 0, cell: 0, weight, started: 0, state };
-        members.list(&entry, listener.local_addr().unwrap());
+        let mut members = members(9, &listener);
         let mut begins = |now: Time, n: u64, out: Span| {
-            let attempt = AttemptId { request: cranesill::api::RequestId(n), number: 0 };
-            let begun = members.send(now, &reactor, n as usize, (attempt, member), &fetch(n), &mut ends);
-            members.abort(now + out, attempt, &mut ends);
+            let target = (attempt(n), MEMBER);
+            let begun = members.send(now, &reactor, n as usize, target, &fetch(n), &mut ends);
+            members.abort(now + out, attempt(n), &mut ends);
             begun.is_some()
         };
         assert!(begins(0, 1, 10_000));
