--- a/front/src/program/clients.rs
+++ b/front/src/program/clients.rs
@@ -161,7 +161,7 @@
         let Some(client) = self.all.get_mut(&key) else { return };
         let before = client.stream.held();
         let written = client.stream.flush(|()| {});
-        if client.stream.held() < before || client.stream.flushed() {
+        if client.stream.held() < before {
             client.moved = now;
         }
         client.stream.count(&mut self.held);
@@ -334,6 +334,18 @@
         assert!(stage.2.has(1) && !stage.2.has(2));
     }
 
+    #[test]
+    fn a_connection_that_carries_nothing_is_closed_whatever_is_done_for_others() {
+        // Each sweep took what had nothing to write for what had written something.
+        let mut stage = Stage::new();
+        let idle = stage.client(0, 1);
+        stage.tell(1, &idle, 1, &READY);
+        stage.2.sweep(IDLE_MOST / 2, usize::MAX, usize::MAX);
+        assert!(stage.2.has(1));
+        stage.2.sweep(IDLE_MOST + 2, usize::MAX, usize::MAX);
+        assert!(!stage.2.has(1));
+    }
+
     #[test]
     fn a_client_that_sends_what_can_not_be_taken_in_rests_and_its_end_is_still_seen() {
         let mut stage = Stage::new();
