--- /dev/null
+++ b/budget/src/lib.rs
@@ -0,0 +1,15 @@
+//! Limits that subsystems share. No input or output, no clock: moments come in, choices go out. Moments and spans
+//! are microseconds.
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
+
+mod core_time;
+mod places;
+
+pub use core_time::CoreTime;
+pub use places::{Place, Places};
+
+/// A moment, in microseconds on a clock that never goes back.
+pub type Time = u64;
+/// A span, in microseconds.
+pub type Span = u64;
--- /dev/null
+++ b/certs/src/exchange.rs
@@ -0,0 +1,160 @@
+//! Carries requests out: one HTTPS exchange, blocking, until an absolute deadline. For worker threads.
+use crate::client::{Ask, Key};
+use crate::http::{request, Answer, Reader};
+use crate::jose::AccountKey;
+use rustls::pki_types::pem::PemObject;
+use rustls::pki_types::{CertificateDer, ServerName};
+use rustls::sign::CertifiedKey;
+use rustls::{ClientConfig, ClientConnection, RootCertStore};
+use std::io::{self, Read, Write};
+use std::net::{TcpStream, ToSocketAddrs};
+use std::path::Path;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Addresses of a name that are tried.
+const ADDRESSES_MOST: usize = 4;
+
+/// What is trusted for the TLS of the authority: the roots in a PEM file, and nothing else.
+pub fn roots(file: &Path) -> Result<Arc<ClientConfig>, String> {
+    let failed = |e: &dyn std::fmt::Display| format!("{}: {e}", file.display());
+    let mut store = RootCertStore::empty();
+    for root in CertificateDer::pem_file_iter(file).map_err(|e| failed(&e))? {
+        store.add(root.map_err(|e| failed(&e))?).map_err(|e| failed(&e))?;
+    }
+    if store.is_empty() {
+        return Err(failed(&"no certificate in it"));
+    }
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let config = ClientConfig::builder_with_provider(provider)
+        .with_safe_default_protocol_versions()
+        .map_err(|e| failed(&e))?
+        .with_root_certificates(store)
+        .with_no_client_auth();
+    Ok(Arc::new(config))
+}
+
+/// Asks and reads the answer, of `most` bytes at most, before `deadline`. The error is one line.
+pub fn exchange(
+    config: &Arc<ClientConfig>,
+    ask: &Ask,
+    deadline: Instant,
+    most: usize,
+) -> Result<Answer, String> {
+    let body = ask.sign.as_ref().map(|sign| sign.body()).transpose()?;
+    let bytes = request(ask.method, &ask.url, body.as_deref());
+    let (host, port) = (ask.url.host.as_str(), ask.url.port);
+    let at = |what: &str, e: &dyn std::fmt::Display| format!("{host}:{port}: {what}: {e}");
+    let name = ServerName::try_from(host.to_string()).map_err(|e| at("name", &e))?;
+    let addresses = (host, port).to_socket_addrs().map_err(|e| at("look-up", &e))?;
+    let mut socket = Err("no address".to_string());
+    for address in addresses.take(ADDRESSES_MOST) {
+        socket = left(deadline)
+            .and_then(|left| TcpStream::connect_timeout(&address, left))
+            .map_err(|e| at("connect", &e));
+        if socket.is_ok() {
+            break;
+        }
+    }
+    let mut socket = socket?;
+    // It can only fail on a socket that is broken, which the next write tells.
+    let _ = socket.set_nodelay(true);
+    let mut tls = ClientConnection::new(Arc::clone(config), name).map_err(|e| at("TLS", &e))?;
+    tls.writer().write_all(&bytes).map_err(|e| at("TLS", &e))?;
+    let mut reader = Reader::new(ask.method, most);
+    let mut plain = [0; 4096];
+    loop {
+        while tls.wants_write() {
+            socket
+                .set_write_timeout(Some(left(deadline).map_err(|e| at("write", &e))?))
+                .map_err(|e| at("write", &e))?;
+            tls.write_tls(&mut socket).map_err(|e| at("write", &e))?;
+        }
+        socket
+            .set_read_timeout(Some(left(deadline).map_err(|e| at("read", &e))?))
+            .map_err(|e| at("read", &e))?;
+        let n = tls.read_tls(&mut socket).map_err(|e| at("read", &late(e)))?;
+        let state = tls.process_new_packets().map_err(|e| {
+            // The alert that tells why is best effort.
+            let _ = tls.write_tls(&mut socket);
+            at("TLS", &e)
+        })?;
+        let mut ended = n == 0;
+        let mut readable = state.plaintext_bytes_to_read();
+        while readable > 0 {
+            let got = tls.reader().read(&mut plain).map_err(|e| at("read", &e))?;
+            if let Some(answer) = reader.feed(&plain[..got]).map_err(|e| at("answer", &e))? {
+                return Ok(answer);
+            }
+            readable = readable.saturating_sub(got.max(1));
+        }
+        ended |= state.peer_has_closed();
+        if ended {
+            // Only a proper end can be the end of an answer that has no length.
+            if !state.peer_has_closed() {
+                return Err(at("answer", &"the connection broke"));
+            }
+            let whole = reader.end().map_err(|e| at("answer", &e))?;
+            return whole.ok_or_else(|| at("answer", &"the answer stops short"));
+        }
+    }
+}
+
+/// Time until the deadline, never nothing: a socket would wait for ever.
+fn left(deadline: Instant) -> io::Result<Duration> {
+    let left = deadline.saturating_duration_since(Instant::now());
+    if left.is_zero() {
+        return Err(io::Error::new(io::ErrorKind::TimedOut, "not done in time"));
+    }
+    Ok(left)
+}
+
+fn late(e: io::Error) -> io::Error {
+    match e.kind() {
+        io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut => {
+            io::Error::new(io::ErrorKind::TimedOut, "not done in time")
+        }
+        _ => e,
+    }
+}
+
+/// What [`make_key`] made.
+pub enum Made {
+    /// Key in PEM and signing request in DER.
+    Order(String, Vec<u8>),
+    /// A key for the account.
+    Account(Arc<AccountKey>),
+}
+
+/// Makes a P-256 key; for an order with a signing request for its names (RFC 2986).
+pub fn make_key(key: &Key) -> Result<Made, String> {
+    let failed = |e: rcgen::Error| format!("key: {e}");
+    match key {
+        Key::Account => AccountKey::generate().map(|key| Made::Account(Arc::new(key))),
+        Key::Order(names, pem) => {
+            let key = match pem {
+                Some(pem) => rcgen::KeyPair::from_pem(pem).map_err(failed)?,
+                None => rcgen::KeyPair::generate().map_err(failed)?,
+            };
+            let mut params = rcgen::CertificateParams::new(names.clone()).map_err(failed)?;
+            params.distinguished_name = rcgen::DistinguishedName::new();
+            let request = params.serialize_request(&key).map_err(failed)?;
+            Ok(Made::Order(key.serialize_pem(), request.der().to_vec()))
+        }
+    }
+}
+
+/// A self-signed certificate that shows control of a name (RFC 8737, section 3): it names that alone, and holds the
+/// digest of the key authorization.
+pub fn prove(name: &str, authorization: &str) -> Result<Arc<CertifiedKey>, String> {
+    let failed = |e: &dyn std::fmt::Display| format!("challenge: {e}");
+    let key = rcgen::KeyPair::generate().map_err(|e| failed(&e))?;
+    let mut params = rcgen::CertificateParams::new(vec![name.into()]).map_err(|e| failed(&e))?;
+    let digest = ring::digest::digest(&ring::digest::SHA256, authorization.as_bytes());
+    params.custom_extensions.push(rcgen::CustomExtension::new_acme_identifier(digest.as_ref()));
+    let cert = params.self_signed(&key).map_err(|e| failed(&e))?;
+    let der = rustls::pki_types::PrivateKeyDer::try_from(key.serialize_der()).map_err(|e| failed(&e))?;
+    // Not by way of the check that key and certificate fit: it knows nothing of the critical extension.
+    let key = rustls::crypto::ring::sign::any_supported_type(&der).map_err(|e| failed(&e))?;
+    Ok(Arc::new(CertifiedKey::new(vec![cert.der().clone()], key)))
+}
--- /dev/null
+++ b/certs/src/http.rs
@@ -0,0 +1,324 @@
+//! HTTP/1.1 as a client speaks it: one request, one answer, then the connection ends (RFC 9112). No input or
+//! output; the answer is bounded in its head and its body before anything is kept of it.
+use crate::client::Method;
+use crate::url::Url;
+use crate::Wall;
+
+/// Bytes of an answer's head, and fields in it.
+const HEAD_MOST: usize = 16 * 1024;
+const FIELDS_MOST: usize = 64;
+/// Digits of a chunk's size with its extension.
+const CHUNK_LINE_MOST: usize = 256;
+/// A time to come back that lies further off is taken for this.
+const RETRY_AFTER_MOST: u64 = 30 * 24 * 3_600;
+
+/// What an authority answered.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Answer {
+    /// Status code.
+    pub status: u16,
+    /// `Replay-Nonce` (RFC 8555, section 6.5.1).
+    pub nonce: Option<String>,
+    /// `Location`.
+    pub location: Option<String>,
+    /// `Retry-After` in seconds from the answer on (RFC 9110, section 10.2.3).
+    pub retry_after: Option<u64>,
+    /// `Date`: the authority's wall clock.
+    pub date: Option<Wall>,
+    /// The body, as long as it may be at most.
+    pub body: Vec<u8>,
+}
+
+/// The bytes of a request.
+pub fn request(method: Method, url: &Url, body: Option<&str>) -> Vec<u8> {
+    let word = match method {
+        Method::Get => "GET",
+        Method::Head => "HEAD",
+        Method::Post => "POST",
+    };
+    let mut text = format!(
+        "{word} {} HTTP/1.1\r\nHost: {}\r\nUser-Agent: cranesill/{}\r\nAccept-Language: en\r\nConnection: close\r\n",
+        url.path,
+        url.host_field(),
+        env!("CARGO_PKG_VERSION")
+    );
+    if let Some(body) = body {
+        text += &format!("Content-Type: application/jose+json\r\nContent-Length: {}\r\n", body.len());
+    }
+    text += "\r\n";
+    text += body.unwrap_or("");
+    text.into_bytes()
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Body {
+    /// That many bytes are still to come.
+    Length(usize),
+    /// Until the connection ends.
+    Open,
+    /// The line with the size of the next chunk.
+    ChunkSize,
+    /// That many bytes of a chunk, then its line end.
+    Chunk(usize),
+    /// Lines after the last chunk.
+    Trailer,
+    Done,
+}
+
+/// Reads one answer as its bytes come.
+#[derive(Debug)]
+pub struct Reader {
+    most: usize,
+    headless: bool,
+    input: Vec<u8>,
+    answer: Answer,
+    body: Option<Body>,
+}
+
+impl Reader {
+    /// For an answer to `method` whose body has `most` bytes at most.
+    pub fn new(method: Method, most: usize) -> Self {
+        let answer = Answer::default();
+        Reader { most, headless: method == Method::Head, input: Vec::new(), answer, body: None }
+    }
+
+    /// Takes bytes in. `Some`: the answer is whole.
+    pub fn feed(&mut self, bytes: &[u8]) -> Result<Option<Answer>, &'static str> {
+        self.input.extend_from_slice(bytes);
+        if self.body.is_none() && !self.head()? {
+            return Ok(None);
+        }
+        while self.step()? {}
+        Ok((self.body == Some(Body::Done)).then(|| std::mem::take(&mut self.answer)))
+    }
+
+    /// The connection has ended. `Some`: that made the answer whole.
+    pub fn end(&mut self) -> Result<Option<Answer>, &'static str> {
+        match self.body {
+            Some(Body::Open) => {
+                self.body = Some(Body::Done);
+                Ok(Some(std::mem::take(&mut self.answer)))
+            }
+            _ => Err("the answer stops short"),
+        }
+    }
+
+    fn head(&mut self) -> Result<bool, &'static str> {
+        let mut fields = [httparse::EMPTY_HEADER; FIELDS_MOST];
+        let mut head = httparse::Response::new(&mut fields);
+        let used = match head.parse(&self.input) {
+            Ok(httparse::Status::Complete(used)) if used <= HEAD_MOST => used,
+            Ok(httparse::Status::Partial) if self.input.len() <= HEAD_MOST => return Ok(false),
+            Ok(_) => return Err("the head is too long"),
+            Err(_) => return Err("the head can't be read"),
+        };
+        let status = head.code.unwrap_or(0);
+        let field = |name: &str| -> Result<Option<String>, &'static str> {
+            let mut all = head.headers.iter().filter(|f| f.name.eq_ignore_ascii_case(name));
+            let first = all.next().map(|f| std::str::from_utf8(f.value).map(|v| v.trim().to_string()));
+            // Two of a kind are two opinions on where the answer ends, or which nonce holds.
+            if all.next().is_some() {
+                return Err("a field stands twice in the head");
+            }
+            first.transpose().map_err(|_| "a field is no text")
+        };
+        let date = field("date")?.and_then(|text| moment(&text));
+        let retry_after = field("retry-after")?.and_then(|text| match text.parse::<u64>() {
+            Ok(seconds) => Some(seconds),
+            Err(_) => moment(&text).zip(date).map(|(at, now)| at.saturating_sub(now)),
+        });
+        let length = match field("content-length")? {
+            Some(text) if text.bytes().all(|b| b.is_ascii_digit()) => {
+                Some(text.parse::<usize>().map_err(|_| "a bad length")?)
+            }
+            Some(_) => return Err("a bad length"),
+            None => None,
+        };
+        let coding = field("transfer-encoding")?;
+        let answer = Answer {
+            status,
+            nonce: field("replay-nonce")?,
+            location: field("location")?,
+            retry_after: retry_after.map(|s| s.min(RETRY_AFTER_MOST)),
+            date,
+            body: Vec::new(),
+        };
+        let body = match (coding, length) {
+            _ if self.headless || status == 204 || status == 304 => Body::Done,
+            (Some(_), Some(_)) => return Err("a length and a coding at once"),
+            (Some(coding), None) if coding.eq_ignore_ascii_case("chunked") => Body::ChunkSize,
+            (Some(_), None) => return Err("an unknown coding"),
+            (None, Some(0)) => Body::Done,
+            (None, Some(length)) => Body::Length(length),
+            (None, None) => Body::Open,
+        };
+        if (100..200).contains(&status) {
+            self.input.drain(..used);
+            return self.head();
+        }
+        if matches!(body, Body::Length(length) if length > self.most) {
+            return Err("the answer is too long");
+        }
+        (self.answer, self.body) = (answer, Some(body));
+        self.input.drain(..used);
+        Ok(true)
+    }
+
+    /// Takes what it can off the input. `false`: more has to come.
+    fn step(&mut self) -> Result<bool, &'static str> {
+        match self.body {
+            None | Some(Body::Done) => Ok(false),
+            Some(Body::Length(left)) => {
+                let left = left - self.take(left)?;
+                self.body = Some(if left == 0 { Body::Done } else { Body::Length(left) });
+                Ok(false)
+            }
+            Some(Body::Open) => {
+                self.take(usize::MAX)?;
+                Ok(false)
+            }
+            Some(Body::ChunkSize) => {
+                let Some(line) = self.line()? else { return Ok(false) };
+                let size = line.split(|b| *b == b';').next().unwrap_or(&[]);
+                let digits =
+                    std::str::from_utf8(size).ok().map(str::trim).filter(|s| (1..=8).contains(&s.len()));
+                let digits = digits.filter(|s| s.bytes().all(|b| b.is_ascii_hexdigit()));
+                let size = digits.and_then(|s| usize::from_str_radix(s, 16).ok()).ok_or("a bad chunk")?;
+                self.body = Some(if size == 0 { Body::Trailer } else { Body::Chunk(size) });
+                Ok(true)
+            }
+            Some(Body::Chunk(0)) => match self.line()? {
+                Some(line) if line.is_empty() => {
+                    self.body = Some(Body::ChunkSize);
+                    Ok(true)
+                }
+                Some(_) => Err("a bad chunk"),
+                None => Ok(false),
+            },
+            Some(Body::Chunk(left)) => {
+                let taken = self.take(left)?;
+                self.body = Some(Body::Chunk(left - taken));
+                Ok(taken == left)
+            }
+            Some(Body::Trailer) => {
+                let Some(line) = self.line()? else { return Ok(false) };
+                if line.is_empty() {
+                    self.body = Some(Body::Done);
+                }
+                Ok(!line.is_empty())
+            }
+        }
+    }
+
+    /// Moves up to `n` bytes into the body.
+    fn take(&mut self, n: usize) -> Result<usize, &'static str> {
+        let n = n.min(self.input.len());
+        if self.answer.body.len() + n > self.most {
+            return Err("the answer is too long");
+        }
+        self.answer.body.extend(self.input.drain(..n));
+        Ok(n)
+    }
+
+    fn line(&mut self) -> Result<Option<Vec<u8>>, &'static str> {
+        let Some(at) = self.input.iter().position(|b| *b == b'\n') else {
+            return if self.input.len() > CHUNK_LINE_MOST { Err("a bad chunk") } else { Ok(None) };
+        };
+        if at > CHUNK_LINE_MOST || at == 0 || self.input[at - 1] != b'\r' {
+            return Err("a bad chunk");
+        }
+        let line = self.input[..at - 1].to_vec();
+        self.input.drain(..=at);
+        Ok(Some(line))
+    }
+}
+
+fn moment(text: &str) -> Option<Wall> {
+    let at = httpdate::parse_http_date(text).ok()?;
+    at.duration_since(std::time::UNIX_EPOCH).ok().map(|d| d.as_secs())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn cut(bytes: &[u8], at: usize) -> Result<Option<Answer>, &'static str> {
+        let mut reader = Reader::new(Method::Get, 100);
+        match reader.feed(&bytes[..at])? {
+            Some(answer) => Ok(Some(answer)),
+            None => reader.feed(&bytes[at..]),
+        }
+    }
+
+    #[test]
+    fn an_answer_is_the_same_however_its_bytes_are_cut() {
+        let texts: [&[u8]; 3] = [
+            b"HTTP/1.1 200 OK\r\nReplay-Nonce: n1\r\nContent-Length: 5\r\nRetry-After: 7\r\n\r\nhello",
+            b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\nLOCATION: https://a/1\r\n\r\n3;x=y\r\nhel\r\n2\r\nlo\r\n0\r\nX: y\r\n\r\n",
+            b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\nDate: Sun, 06 Nov 1994 08:49:37 GMT\r\nRetry-After: Sun, 06 Nov 1994 08:50:37 GMT\r\n\r\n",
+        ];
+        for text in texts {
+            let whole = cut(text, text.len()).unwrap().unwrap();
+            (0..text.len()).for_each(|at| assert_eq!(cut(text, at).unwrap().unwrap(), whole, "cut at {at}"));
+        }
+        assert_eq!(cut(texts[1], 9).unwrap().unwrap().body, b"hello");
+        let last = cut(texts[2], 9).unwrap().unwrap();
+        assert_eq!((last.retry_after, last.date), (Some(60), Some(784_111_777)));
+    }
+
+    #[test]
+    fn an_open_answer_ends_with_its_connection_and_no_other_does() {
+        let mut reader = Reader::new(Method::Get, 100);
+        assert_eq!(reader.feed(b"HTTP/1.1 200 OK\r\n\r\nabc").unwrap(), None);
+        assert_eq!(reader.end().unwrap().unwrap().body, b"abc");
+        for short in [&b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc"[..], b"HTTP/1.1 2", b""] {
+            let mut reader = Reader::new(Method::Get, 100);
+            assert_eq!(reader.feed(short).unwrap(), None);
+            assert!(reader.end().is_err());
+        }
+        let mut reader = Reader::new(Method::Head, 100);
+        assert!(reader.feed(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n").unwrap().is_some());
+    }
+
+    #[test]
+    fn what_has_no_end_or_two_of_them_is_refused() {
+        for bad in [
+            "HTTP/1.1 200 OK\r\nContent-Length: 101\r\n\r\n".to_string(),
+            "HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999\r\n\r\n".into(),
+            "HTTP/1.1 200 OK\r\nContent-Length: +5\r\n\r\n".into(),
+            "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\n".into(),
+            "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n".into(),
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n".into(),
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffffffff\r\n".into(),
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabcX\r\n".into(),
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\nabc\r\n".into(),
+            format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{}", "1".repeat(300)),
+            format!("HTTP/1.1 200 OK\r\n\r\n{}", "x".repeat(101)),
+            format!("HTTP/1.1 200 OK\r\nX: {}", "y".repeat(HEAD_MOST)),
+            format!("HTTP/1.1 200 OK\r\n{}\r\n", "X: y\r\n".repeat(65)),
+            "SSH-2.0-x\r\n".into(),
+        ] {
+            let mut reader = Reader::new(Method::Get, 100);
+            assert!(reader.feed(bad.as_bytes()).is_err(), "{}", &bad[..60.min(bad.len())]);
+        }
+    }
+
+    #[test]
+    fn odd_bytes_never_panic_nor_grow_past_the_bound() {
+        let text = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n";
+        let mut dice = 5u64;
+        for _ in 0..50_000 {
+            let mut bytes = text.to_vec();
+            for _ in 0..3 {
+                dice = dice.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+                let at = (dice >> 33) as usize % bytes.len();
+                bytes[at] = (dice >> 20) as u8;
+            }
+            let mut reader = Reader::new(Method::Get, 100);
+            if let Ok(Some(answer)) = reader.feed(&bytes) {
+                assert!(answer.body.len() <= 100);
+            }
+            let _ = reader.end();
+        }
+    }
+}
--- /dev/null
+++ b/certs/src/identity.rs
@@ -0,0 +1,180 @@
+//! A certificate with its chain and its key, as it is served and kept.
+use crate::jose::base64url;
+use crate::{hash, Moment, Wall};
+use rustls::pki_types::pem::PemObject;
+use rustls::pki_types::{CertificateDer, PrivateKeyDer};
+use rustls::sign::CertifiedKey;
+use std::fmt;
+use std::sync::Arc;
+use x509_parser::extensions::{GeneralName, ParsedExtension};
+use x509_parser::prelude::{FromDer, X509Certificate};
+
+/// Bytes of a bundle, certificates in a chain, names in a certificate, at most.
+pub const BUNDLE_MOST: usize = 256 * 1024;
+const CHAIN_MOST: usize = 10;
+const NAMES_MOST: usize = 200;
+
+/// A certificate with its chain and the private key that belongs to it.
+#[derive(Clone)]
+pub struct Identity {
+    /// Host names of the leaf, in lower case.
+    pub names: Vec<String>,
+    /// First second at which the leaf holds.
+    pub not_before: Wall,
+    /// Last second at which the leaf holds.
+    pub not_after: Wall,
+    /// Serial number of the leaf, in hex.
+    pub serial: String,
+    /// Who issued the leaf.
+    pub issuer: String,
+    /// Its name for renewal information (RFC 9773, section 4.1), if it tells who issued it.
+    pub renewal_id: Option<String>,
+    /// Key and chain in PEM: a secret.
+    bundle: Arc<str>,
+    /// What handshakes are made with.
+    pub certified: Arc<CertifiedKey>,
+}
+
+impl fmt::Debug for Identity {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Identity({:?}, serial {}, until {})", self.names, self.serial, self.not_after)
+    }
+}
+
+impl Identity {
+    /// Reads a bundle: a private key and a chain, leaf first, in PEM and in any order of the two. The error is one
+    /// line: what can't be read, or that key and leaf do not belong together.
+    pub fn from_pem(bundle: &str) -> Result<Self, String> {
+        if bundle.len() > BUNDLE_MOST {
+            return Err(format!("more than {BUNDLE_MOST} bytes"));
+        }
+        let key = PrivateKeyDer::from_pem_slice(bundle.as_bytes()).map_err(|e| format!("key: {e}"))?;
+        let chain: Result<Vec<_>, _> =
+            CertificateDer::pem_slice_iter(bundle.as_bytes()).take(CHAIN_MOST + 1).collect();
+        let chain = chain.map_err(|e| format!("chain: {e}"))?;
+        if chain.len() > CHAIN_MOST {
+            return Err(format!("chain: more than {CHAIN_MOST} certificates"));
+        }
+        let leaf = chain.first().ok_or("chain: no certificate")?.clone();
+        let provider = rustls::crypto::ring::default_provider();
+        let certified = CertifiedKey::from_der(chain, key, &provider).map_err(|e| match e {
+            rustls::Error::InconsistentKeys(_) => "key and certificate do not belong together".to_string(),
+            e => format!("key: {e}"),
+        })?;
+        let (_, cert) = X509Certificate::from_der(&leaf).map_err(|e| format!("leaf: {e}"))?;
+        let mut names = Vec::new();
+        let mut authority = None;
+        for extension in cert.extensions() {
+            match extension.parsed_extension() {
+                ParsedExtension::SubjectAlternativeName(san) => {
+                    let dns = san.general_names.iter().filter_map(|n| match n {
+                        GeneralName::DNSName(name) => Some(name.to_ascii_lowercase()),
+                        _ => None,
+                    });
+                    names.extend(dns.take(NAMES_MOST));
+                }
+                ParsedExtension::AuthorityKeyIdentifier(id) => {
+                    authority = id.key_identifier.as_ref().map(|k| base64url(k.0));
+                }
+                _ => {}
+            }
+        }
+        let seconds = |t: x509_parser::time::ASN1Time| u64::try_from(t.timestamp()).unwrap_or(0);
+        Ok(Identity {
+            names,
+            not_before: seconds(cert.validity().not_before),
+            not_after: seconds(cert.validity().not_after),
+            serial: cert.raw_serial().iter().map(|b| format!("{b:02x}")).collect(),
+            issuer: crate::tame(&cert.issuer().to_string(), 200),
+            renewal_id: authority.map(|a| format!("{a}.{}", base64url(cert.raw_serial()))),
+            bundle: bundle.into(),
+            certified: Arc::new(certified),
+        })
+    }
+
+    /// Puts a key and a chain together, both in PEM.
+    pub fn join(key: &str, chain: &str) -> Result<Self, String> {
+        // A chain that brings a key of its own must not displace ours.
+        let certificates =
+            chain.contains("-----BEGIN CERTIFICATE-----") && !chain.contains("PRIVATE KEY-----");
+        if !certificates {
+            return Err("chain: no certificate, or a key among them".into());
+        }
+        Self::from_pem(&format!("{}\n{chain}", key.trim_end()))
+    }
+
+    /// Key and chain in PEM, as they are kept: a secret.
+    pub fn bundle(&self) -> &str {
+        &self.bundle
+    }
+
+    /// The leaf in DER.
+    pub fn leaf(&self) -> &[u8] {
+        self.certified.cert.first().map_or(&[], |c| c.as_ref())
+    }
+
+    /// Whether it holds at that second.
+    pub fn holds(&self, wall: Wall) -> bool {
+        (self.not_before..=self.not_after).contains(&wall)
+    }
+
+    /// Whether it stands for a name, by itself or by a wildcard for one label (RFC 6125, section 6.4.3).
+    pub fn covers(&self, name: &str) -> bool {
+        let name = name.to_ascii_lowercase();
+        let wild = name.split_once('.').map(|(_, rest)| format!("*.{rest}"));
+        self.names.iter().any(|n| *n == name || wild.as_ref().is_some_and(|w| n == w))
+    }
+
+    /// Seconds until it ends; negative: since it ended.
+    pub fn left(&self, moment: Moment) -> i64 {
+        self.not_after as i64 - moment.wall as i64
+    }
+
+    /// A number that tells this one from others.
+    pub fn mark(&self) -> u64 {
+        hash(&[&self.bundle])
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A self-signed bundle for some names, from one second to another.
+    fn made(names: &[&str], from: Wall, until: Wall) -> (String, String) {
+        let key = rcgen::KeyPair::generate().unwrap();
+        let names: Vec<String> = names.iter().map(|n| n.to_string()).collect();
+        let mut params = rcgen::CertificateParams::new(names).unwrap();
+        let at = |s: u64| time::OffsetDateTime::from_unix_timestamp(s as i64).unwrap();
+        (params.not_before, params.not_after) = (at(from), at(until));
+        (key.serialize_pem(), params.self_signed(&key).unwrap().pem())
+    }
+
+    #[test]
+    fn key_and_certificate_have_to_belong_together() {
+        let (key, chain) = made(&["A.example", "*.b.example"], 1_000, 2_000);
+        let found = Identity::join(&key, &chain).unwrap();
+        assert_eq!((found.not_before, found.not_after), (1_000, 2_000));
+        assert!(found.covers("a.EXAMPLE") && found.covers("x.b.example"));
+        assert!(!found.covers("b.example") && !found.covers("x.y.b.example"));
+        assert!(found.holds(1_000) && found.holds(2_000) && !found.holds(2_001) && !found.holds(999));
+        assert!(!format!("{found:?}").contains(key.lines().nth(1).unwrap()));
+        let (other, _) = made(&["a.example"], 1_000, 2_000);
+        let why = Identity::join(&other, &chain).unwrap_err();
+        assert!(why.contains("do not belong together"), "{why}");
+        assert!(Identity::join(&key, &format!("{other}{chain}")).is_err());
+    }
+
+    #[test]
+    fn odd_bundles_are_refused_in_one_line() {
+        let (key, chain) = made(&["a.example"], 1_000, 2_000);
+        let whole = format!("{key}{chain}");
+        for cut in (0..whole.len()).step_by(7) {
+            if let Err(e) = Identity::from_pem(&whole[..cut]) {
+                assert!(!e.contains('\n'));
+            }
+        }
+        assert!(Identity::from_pem(&format!("{key}{}", chain.repeat(CHAIN_MOST + 1))).is_err());
+        assert!(Identity::from_pem(&"x".repeat(BUNDLE_MOST + 1)).is_err());
+    }
+}
--- /dev/null
+++ b/certs/src/renewal.rs
@@ -0,0 +1,141 @@
+//! When a certificate is due, and which front's turn it is.
+use crate::wire::Window;
+use crate::{hash, share, Span, Wall, SECOND};
+
+/// Share of a lifetime, in percent, that is never waited past, whatever window the authority names.
+const LATEST_PERCENT: u64 = 95;
+/// A front that has nothing to serve waits this long for each that stands before it.
+const FIRST_TURN: Span = 30 * SECOND;
+
+/// What is known of a certificate that is held.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Held {
+    /// First second at which it holds.
+    pub not_before: Wall,
+    /// Last second at which it holds.
+    pub not_after: Wall,
+}
+
+impl Held {
+    /// The second at which a share of its lifetime, in percent, has passed.
+    pub fn at(&self, percent: u64) -> Wall {
+        let life = self.not_after.saturating_sub(self.not_before);
+        self.not_before + (u128::from(life) * u128::from(percent) / 100) as u64
+    }
+}
+
+/// How renewals are spread.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Rule {
+    /// Share of the lifetime, in percent, after which one is due without a window.
+    pub renew_percent: u32,
+    /// Up to this share of the lifetime earlier, in percent.
+    pub jitter_percent: u32,
+}
+
+/// The second from which a certificate should be renewed: a moment within the authority's window (RFC 9773, section
+/// 4.2), else by the rule. It depends on nothing but its arguments, so a restart changes nothing.
+pub fn due(held: &Held, window: Option<Window>, rule: Rule, id: &str) -> Wall {
+    let due = match window {
+        Some(window) => window.start + share(window.end - window.start, &[id, "window"]),
+        None => {
+            let life = held.not_after.saturating_sub(held.not_before);
+            let jitter = (u128::from(life) * u128::from(rule.jitter_percent) / 100) as u64;
+            held.at(rule.renew_percent.into()).saturating_sub(share(jitter + 1, &[id, "jitter"]))
+        }
+    };
+    due.min(held.at(LATEST_PERCENT))
+}
+
+/// Whose turn it is to renew, where several fronts serve the same names.
+pub trait Turns {
+    /// How long this front waits once a certificate is due. `left`: seconds from then until it ends; 0: there is
+    /// none, or it has ended.
+    fn delay(&self, id: &str, left: u64) -> Span;
+}
+
+/// Turns by rank, without any talk: each front has a rank for each certificate by hash, and waits a span for each
+/// front before it. Who is first is another one for another certificate.
+#[derive(Clone, Debug)]
+pub struct Ranked {
+    /// This front.
+    pub me: String,
+    /// All of them.
+    pub fronts: Vec<String>,
+    /// How long one waits for the one before it.
+    pub takeover: Span,
+}
+
+impl Ranked {
+    /// Fronts that come before this one.
+    pub fn rank(&self, id: &str) -> u64 {
+        let mine = (hash(&[id, &self.me]), &self.me);
+        let before = self.fronts.iter().filter(|f| **f != self.me && (hash(&[id, f]), *f) < mine);
+        before.count() as u64
+    }
+}
+
+impl Turns for Ranked {
+    fn delay(&self, id: &str, left: u64) -> Span {
+        let each = match left {
+            0 => self.takeover.min(FIRST_TURN),
+            // All turns are over at half of what is left.
+            _ => self.takeover.min(left.saturating_mul(SECOND / 2) / self.fronts.len().max(1) as u64),
+        };
+        each * self.rank(id)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const DAY: u64 = 86_400;
+    const RULE: Rule = Rule { renew_percent: 67, jitter_percent: 5 };
+
+    #[test]
+    fn due_is_within_the_window_and_the_same_after_each_start() {
+        let held = Held { not_before: 0, not_after: 90 * DAY };
+        let window = Window { start: 50 * DAY, end: 60 * DAY };
+        let due_of = |id: &str, window| due(&held, window, RULE, id);
+        for i in 0..200 {
+            let id = format!("n{i}.example");
+            assert!((window.start..window.end).contains(&due_of(&id, Some(window))));
+            assert!(
+                (62 * 90 * DAY / 100..=67 * 90 * DAY / 100).contains(&due_of(&id, None)),
+                "{}",
+                due_of(&id, None)
+            );
+            assert_eq!(due_of(&id, None), due_of(&id, None));
+        }
+        let spread: std::collections::HashSet<_> = (0..200).map(|i| due_of(&i.to_string(), None)).collect();
+        assert!(spread.len() > 190, "they must not come due at once");
+        // A window past the end is not waited for.
+        let late = Window { start: 100 * DAY, end: 101 * DAY };
+        assert_eq!(due_of("a", Some(late)), 90 * DAY * 95 / 100);
+        // Six days are as good as ninety.
+        let short = Held { not_before: 1_000, not_after: 1_000 + 6 * DAY };
+        let at = due(&short, None, RULE, "a") - 1_000;
+        assert!((6 * DAY * 62 / 100..=6 * DAY * 67 / 100).contains(&at));
+    }
+
+    #[test]
+    fn each_front_has_its_own_rank_and_all_turns_are_over_in_time() {
+        let fronts: Vec<String> = (1..=7).map(|i| format!("n{i}")).collect();
+        let mut first = [0; 7];
+        for name in 0..700 {
+            let id = format!("x{name}.example");
+            let of =
+                |me: &String| Ranked { me: me.clone(), fronts: fronts.clone(), takeover: 3_600 * SECOND };
+            let mut ranks: Vec<_> = fronts.iter().map(|f| of(f).rank(&id)).collect();
+            first[ranks.iter().position(|r| *r == 0).unwrap()] += 1;
+            assert!(fronts.iter().all(|f| of(f).delay(&id, 7_000) <= 3_500 * SECOND));
+            assert!(fronts.iter().all(|f| of(f).delay(&id, 0) <= 6 * FIRST_TURN));
+            ranks.sort_unstable();
+            assert_eq!(ranks, (0..7).collect::<Vec<_>>());
+        }
+        assert!(first.iter().all(|n| (50..150).contains(n)), "the work is shared: {first:?}");
+        let alone = Ranked { me: "n1".into(), fronts: vec![], takeover: SECOND };
+        assert_eq!(alone.delay("a", 5), 0);
+    }
+}
--- /dev/null
+++ b/certs/tests/common/mod.rs
@@ -0,0 +1,407 @@
+//! A client, an authority and a folder on virtual clocks: what the client asks for is carried out here, and each
+//! thing that takes time comes back as an event later on.
+#![allow(dead_code)]
+use cranesill_certs::client::{Loud, Note};
+use cranesill_certs::disk::{self, Files};
+use cranesill_certs::exchange::{make_key, Made};
+use cranesill_certs::http::Answer;
+use cranesill_certs::order::Way;
+use cranesill_certs::planner::Plan;
+use cranesill_certs::renewal::{Ranked, Rule};
+use cranesill_certs::{
+    Action, Challenge, Client, Event, Identity, Method, Moment, Settings, Span, Time, SECOND,
+};
+use cranesill_standins::acme::{Authority, Request};
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap};
+use std::io;
+use std::rc::Rc;
+
+pub const HOUR: u64 = 3_600;
+pub const DAY: u64 = 24 * HOUR;
+pub const START: u64 = 1_800_000_000;
+
+/// A folder in memory that loses what was not synced, and can be killed at any of its steps.
+#[derive(Default)]
+pub struct Disk {
+    /// What would be there after a loss of power.
+    kept: BTreeMap<String, Vec<u8>>,
+    /// What is there now: names to contents, with whether those are synced.
+    live: BTreeMap<String, (Vec<u8>, bool)>,
+    pub steps: usize,
+    /// At this step it is killed: that step and all after it do nothing.
+    pub kill_at: Option<usize>,
+    pub full: bool,
+}
+
+impl Disk {
+    fn step(&mut self) -> io::Result<()> {
+        self.steps += 1;
+        if self.kill_at.is_some_and(|at| self.steps > at) {
+            return Err(io::Error::other("killed"));
+        }
+        Ok(())
+    }
+
+    /// Power is lost: what was not synced is gone or torn.
+    pub fn lose_power(&mut self) {
+        self.live = self.kept.iter().map(|(n, b)| (n.clone(), (b.clone(), true))).collect();
+        self.kill_at = None;
+    }
+
+    pub fn put(&mut self, name: &str, bytes: &[u8]) {
+        self.kept.insert(name.into(), bytes.to_vec());
+        self.live.insert(name.into(), (bytes.to_vec(), true));
+    }
+
+    pub fn get(&self, name: &str) -> Option<Vec<u8>> {
+        self.live.get(name).map(|(bytes, _)| bytes.clone())
+    }
+
+    pub fn names(&self) -> Vec<String> {
+        self.live.keys().cloned().collect()
+    }
+}
+
+impl Files for Disk {
+    fn write(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        self.step()?;
+        if self.full {
+            return Err(io::Error::from(io::ErrorKind::StorageFull));
+        }
+        self.live.insert(name.into(), (bytes.to_vec(), false));
+        Ok(())
+    }
+
+    fn sync(&mut self, name: &str) -> io::Result<()> {
+        self.step()?;
+        self.live.get_mut(name).into_iter().for_each(|f| f.1 = true);
+        Ok(())
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        self.step()?;
+        let file = self.live.remove(from).ok_or(io::ErrorKind::NotFound)?;
+        self.live.insert(to.into(), file);
+        Ok(())
+    }
+
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        self.step()?;
+        self.live.remove(name);
+        Ok(())
+    }
+
+    fn sync_folder(&mut self) -> io::Result<()> {
+        self.step()?;
+        // Half of what was not synced is what a loss of power leaves of it.
+        let torn = |(bytes, synced): &(Vec<u8>, bool)| {
+            if *synced {
+                bytes.clone()
+            } else {
+                bytes[..bytes.len() / 2].to_vec()
+            }
+        };
+        self.kept = self.live.iter().map(|(n, f)| (n.clone(), torn(f))).collect();
+        Ok(())
+    }
+
+    fn read(&mut self, name: &str) -> io::Result<Vec<u8>> {
+        self.get(name).ok_or_else(|| io::ErrorKind::NotFound.into())
+    }
+
+    fn list(&mut self) -> io::Result<Vec<String>> {
+        Ok(self.names())
+    }
+
+    fn mine(&self) -> &str {
+        "me"
+    }
+}
+
+pub fn plan() -> Plan {
+    Plan {
+        rule: Rule { renew_percent: 67, jitter_percent: 5 },
+        warn_percent: 85,
+        orders_most: 20,
+        window: 3 * HOUR * SECOND,
+        at_once: 2,
+    }
+}
+
+pub fn ranked(me: &str, fronts: &[&str]) -> Ranked {
+    let fronts = fronts.iter().map(|f| f.to_string()).collect();
+    Ranked { me: me.into(), fronts, takeover: HOUR * SECOND }
+}
+
+/// The authority, seen from all fronts of a test.
+pub type Shared<T> = Rc<RefCell<T>>;
+
+pub struct World {
+    pub now: Time,
+    /// What the machine's clock shows beyond the true one, in seconds.
+    pub off: i64,
+    pub client: Client,
+    pub authority: Shared<Authority>,
+    pub disk: Option<Shared<Disk>>,
+    pub shown: Vec<Challenge>,
+    pub served: BTreeMap<String, Vec<Identity>>,
+    pub notes: Vec<(u64, Note)>,
+    pub replies: Vec<Result<String, String>>,
+    pub fresh_tickets: u32,
+    events: Vec<(Time, u64, Event)>,
+    seen: u64,
+    /// Actions carried out; at `kill_at` nothing more is.
+    pub actions: usize,
+    pub kill_at: Option<usize>,
+    names: Vec<Vec<String>>,
+    settings: Settings,
+    me: (String, Vec<String>),
+    pub plan: Plan,
+    /// Requests by the first step of their path.
+    pub asked: HashMap<String, usize>,
+}
+
+/// How long an exchange, and anything else, takes.
+const EXCHANGE: Span = 50_000;
+const LOCAL: Span = 1_000;
+
+pub fn authority() -> Shared<Authority> {
+    Rc::new(RefCell::new(Authority::new("https://ca.example".into(), 42)))
+}
+
+pub fn disk() -> Shared<Disk> {
+    Rc::default()
+}
+
+impl World {
+    pub fn new(authority: &Shared<Authority>, disk: Option<&Shared<Disk>>, names: &[&[&str]]) -> World {
+        Self::front("n1", &["n1"], authority, disk, names)
+    }
+
+    pub fn front(
+        me: &str,
+        fronts: &[&str],
+        authority: &Shared<Authority>,
+        disk: Option<&Shared<Disk>>,
+        names: &[&[&str]],
+    ) -> World {
+        let names: Vec<Vec<String>> =
+            names.iter().map(|n| n.iter().map(|n| n.to_string()).collect()).collect();
+        let settings = Settings {
+            directory_url: authority.borrow().directory(),
+            contacts: vec!["mailto:ops@example.org".into()],
+            external: None,
+            way: Way::Http,
+            shared: fronts.len() > 1,
+        };
+        let mut world = World {
+            now: 5 * SECOND,
+            off: 0,
+            client: Client::new(Some(settings.clone()), plan(), Box::new(ranked(me, fronts))),
+            authority: Rc::clone(authority),
+            disk: disk.cloned(),
+            shown: vec![],
+            served: BTreeMap::new(),
+            notes: vec![],
+            replies: vec![],
+            fresh_tickets: 0,
+            events: vec![],
+            seen: 0,
+            actions: 0,
+            kill_at: None,
+            names,
+            settings,
+            me: (me.into(), fronts.iter().map(|f| f.to_string()).collect()),
+            plan: plan(),
+            asked: HashMap::new(),
+        };
+        world.begin();
+        world
+    }
+
+    /// The program starts: nothing is left but the folder.
+    fn begin(&mut self) {
+        let fronts: Vec<&str> = self.me.1.iter().map(String::as_str).collect();
+        let turns = || Box::new(ranked(&self.me.0, &fronts));
+        let mut client = Client::new(Some(self.settings.clone()), self.plan, turns());
+        let mut out = Vec::new();
+        client.handle(self.moment(), Event::Configure(self.plan, turns(), self.names.clone()), &mut out);
+        let loaded = match &self.disk {
+            Some(disk) => disk::load(&mut *disk.borrow_mut()).unwrap(),
+            None => disk::Loaded::default(),
+        };
+        client.handle(self.moment(), Event::Start(Box::new(loaded)), &mut out);
+        self.client = client;
+        self.carry_out(out);
+    }
+
+    pub fn restart(&mut self) {
+        if let Some(disk) = &self.disk {
+            disk.borrow_mut().lose_power();
+        }
+        (self.events, self.shown, self.served) = (vec![], vec![], BTreeMap::new());
+        self.kill_at = None;
+        self.begin();
+    }
+
+    pub fn with(&mut self, change: impl Fn(&mut Settings)) {
+        change(&mut self.settings);
+        self.restart();
+    }
+
+    pub fn true_wall(&self) -> u64 {
+        START + self.now / SECOND
+    }
+
+    pub fn moment(&self) -> Moment {
+        Moment { now: self.now, wall: self.true_wall().saturating_add_signed(self.off) }
+    }
+
+    pub fn tell(&mut self, event: Event) {
+        let mut out = Vec::new();
+        self.client.handle(self.moment(), event, &mut out);
+        self.carry_out(out);
+    }
+
+    fn later(&mut self, after: Span, event: Event) {
+        self.seen += 1;
+        self.events.push((self.now + after, self.seen, event));
+    }
+
+    fn carry_out(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            if self.kill_at.is_some_and(|at| self.actions >= at) {
+                return;
+            }
+            self.actions += 1;
+            match action {
+                Action::Ask(task, ask) => {
+                    let answer = self.ask(&ask);
+                    self.later(EXCHANGE, Event::Answered(task, answer));
+                }
+                Action::MakeKey(task, key) => {
+                    let event = match make_key(&key) {
+                        Ok(Made::Order(pem, csr)) => Event::Key(task, Ok((pem, csr))),
+                        Ok(Made::Account(key)) => Event::AccountKey(task, Ok(key)),
+                        Err(e) => panic!("{e}"),
+                    };
+                    self.later(LOCAL, event);
+                }
+                Action::Save(task, what) => {
+                    let done = match &self.disk {
+                        Some(disk) => disk::save(&mut *disk.borrow_mut(), &what),
+                        None => Ok(()),
+                    };
+                    self.later(LOCAL, Event::Done(task, done));
+                }
+                Action::Publish(task, challenge) => {
+                    self.shown.push(challenge);
+                    self.later(LOCAL, Event::Done(task, Ok(())));
+                }
+                Action::Withdraw(challenge) => self.shown.retain(|c| *c != challenge),
+                Action::Reread(task, id) => {
+                    let found = self.disk.as_ref().and_then(|d| disk::reread(&mut *d.borrow_mut(), &id));
+                    self.later(LOCAL, Event::Reread(task, found.map(Box::new)));
+                }
+                Action::Serve(id, all, fresh) => {
+                    self.fresh_tickets += u32::from(fresh);
+                    self.served.insert(id, all);
+                }
+                Action::Reply(_, answer) => self.replies.push(answer),
+                Action::Tell(note) => {
+                    let at = self.true_wall();
+                    self.notes.push((at, note));
+                }
+            }
+        }
+    }
+
+    fn ask(&mut self, ask: &cranesill_certs::Ask) -> Result<Answer, String> {
+        assert_eq!(ask.url.host, "ca.example", "nothing may be sent elsewhere");
+        let mut authority = self.authority.borrow_mut();
+        let first = ask.url.path.trim_matches('/').split('/').next().unwrap_or("").to_string();
+        *self.asked.entry(first).or_default() += 1;
+        if authority.faults.vanished {
+            return Err("connection refused".into());
+        }
+        let method = match ask.method {
+            Method::Get => "GET",
+            Method::Head => "HEAD",
+            Method::Post => "POST",
+        };
+        let body = ask.sign.as_ref().map(|s| s.body().unwrap()).unwrap_or_default().into_bytes();
+        let request = Request {
+            method: method.into(),
+            path: ask.url.path.clone(),
+            content_type: "application/jose+json".into(),
+            body,
+        };
+        let wall = START + self.now / SECOND;
+        let answer = authority.handle(wall, &request);
+        for check in authority.checks() {
+            let shown = self.shown.iter().any(|c| {
+                c.name == check.name && c.token == check.token && c.authorization == check.authorization
+            });
+            authority.checked(&check, if shown { Ok(()) } else { Err("nothing is shown".into()) });
+        }
+        let field = |name: &str| {
+            answer.fields.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.clone())
+        };
+        Ok(Answer {
+            status: answer.status,
+            nonce: field("replay-nonce"),
+            location: field("location"),
+            retry_after: field("retry-after").and_then(|v| v.parse().ok()),
+            date: Some(wall.saturating_add_signed(authority.clock)),
+            body: answer.body,
+        })
+    }
+
+    /// Lets seconds pass.
+    pub fn run(&mut self, seconds: u64) {
+        self.run_while(seconds, |_| true);
+    }
+
+    /// Lets seconds pass for as long as something holds.
+    pub fn run_while(&mut self, seconds: u64, holds: impl Fn(&World) -> bool) -> bool {
+        let until = self.now + seconds * SECOND;
+        let mut ticked = false;
+        loop {
+            if !holds(self) {
+                return true;
+            }
+            let tick = self.client.next(self.moment()).max(self.now);
+            assert!(tick > self.now || !ticked, "the client would spin");
+            let event = self.events.iter().enumerate().min_by_key(|(_, (at, n, _))| (*at, *n));
+            let next = event.map_or(tick, |(_, (at, ..))| tick.min(*at));
+            if next > until {
+                self.now = until;
+                return false;
+            }
+            self.now = self.now.max(next);
+            let event = match event {
+                Some((i, (at, ..))) if *at <= tick => self.events.remove(i).2,
+                _ => Event::Tick,
+            };
+            ticked = matches!(event, Event::Tick);
+            self.tell(event);
+        }
+    }
+
+    /// Whether something that holds by the true clock is served for a name.
+    pub fn good(&self, name: &str) -> bool {
+        let wall = self.true_wall();
+        self.served.values().flatten().any(|i| i.covers(name) && i.holds(wall))
+    }
+
+    pub fn loud(&self, kind: &str) -> usize {
+        self.notes.iter().filter(|(_, n)| n.kind == kind && n.loud >= Loud::Warn).count()
+    }
+
+    pub fn story(&self) -> String {
+        let line =
+            |(at, n): &(u64, Note)| format!("{} {:?} {} {}: {}", at - START, n.loud, n.kind, n.name, n.text);
+        self.notes.iter().rev().take(25).rev().map(line).collect::<Vec<_>>().join("\n")
+    }
+}
--- /dev/null
+++ b/daemon/src/diff.rs
@@ -0,0 +1,52 @@
+//! What a reload takes over and what it can't.
+use crate::types::Daemon;
+use serde_json::Value;
+use std::collections::BTreeSet;
+
+/// What changes in service; all else needs a restart.
+const LIVE: [&str; 11] = [
+    "log",
+    "tls.handshakes_most",
+    "tls.handshake_ms",
+    "tls.core_percent",
+    "tls.expired",
+    "certs.certificates",
+    "certs.takeover_s",
+    "certs.renew_percent",
+    "certs.jitter_percent",
+    "certs.warn_percent",
+    "certs.fronts",
+];
+
+/// Paths of values that differ between two files.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Changes {
+    /// Taken over in service.
+    pub taken: Vec<String>,
+    /// As they were until a restart.
+    pub restart: Vec<String>,
+}
+
+/// Compares two files. Paths are without `$.`, in order; a section that comes or goes is one path.
+pub fn changes(old: &Daemon, new: &Daemon) -> Changes {
+    // All types serialize to objects: nothing in them can fail.
+    let value = |d: &Daemon| serde_json::to_value(d).unwrap_or_default();
+    let mut found = BTreeSet::new();
+    walk(String::new(), &value(old), &value(new), &mut found);
+    let live = |path: &String| LIVE.iter().any(|l| path == l || path.starts_with(&format!("{l}.")));
+    let (taken, restart) = found.into_iter().partition(live);
+    Changes { taken, restart }
+}
+
+fn walk(path: String, old: &Value, new: &Value, found: &mut BTreeSet<String>) {
+    match (old, new) {
+        (Value::Object(a), Value::Object(b)) => {
+            for key in a.keys().chain(b.keys()) {
+                let path = if path.is_empty() { key.clone() } else { format!("{path}.{key}") };
+                walk(path, a.get(key).unwrap_or(&Value::Null), b.get(key).unwrap_or(&Value::Null), found);
+            }
+        }
+        _ if old == new => {}
+        _ => drop(found.insert(path)),
+    }
+}
--- /dev/null
+++ b/daemon/src/types.rs
@@ -0,0 +1,248 @@
+//! What the file may hold.
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use std::path::PathBuf;
+
+/// The whole file.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Daemon {
+    /// The log on standard error.
+    pub log: Log,
+    /// The control socket for operators; absent: none.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    #[schemars(with = "Control")]
+    pub control: Option<Control>,
+    /// The TLS listener; absent: none.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    #[schemars(with = "Tls")]
+    pub tls: Option<Tls>,
+    /// Certificates; absent: none are kept, and a TLS listener has none to serve.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    #[schemars(with = "Certs")]
+    pub certs: Option<Certs>,
+}
+
+/// The log.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Log {
+    /// How a line looks.
+    pub format: Format,
+    /// The least level that is written.
+    pub level: Level,
+}
+
+/// How a line of the log looks.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "lowercase")]
+pub enum Format {
+    /// Words and `name=value`.
+    #[default]
+    Text,
+    /// One JSON object.
+    Json,
+}
+
+/// Levels of the log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "lowercase")]
+pub enum Level {
+    /// Something is lost or will be.
+    Error,
+    /// Something needs a look.
+    Warn,
+    /// What an operator wants to know.
+    #[default]
+    Info,
+    /// What a developer wants to know.
+    Debug,
+    /// Everything.
+    Trace,
+}
+
+/// The control socket.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Control {
+    /// Path of the Unix domain socket; it is made with mode 0600.
+    pub path: PathBuf,
+}
+
+/// The TLS listener.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Tls {
+    /// Address and port to listen on.
+    pub listen: String,
+    /// Handshakes under way at once; a new one beyond that displaces the oldest.
+    #[serde(default = "handshakes_most")]
+    #[schemars(range(min = 1, max = 4096))]
+    pub handshakes_most: usize,
+    /// A handshake has to be complete after this long.
+    #[serde(default = "handshake_ms")]
+    #[schemars(range(min = 100, max = 2999))]
+    pub handshake_ms: u64,
+    /// Share of the core that handshakes may take.
+    #[serde(default = "core_percent")]
+    #[schemars(range(min = 1, max = 100))]
+    pub core_percent: u32,
+    /// What becomes of handshakes once a certificate has expired.
+    #[serde(default)]
+    pub expired: Expired,
+}
+
+fn handshakes_most() -> usize {
+    64
+}
+
+fn handshake_ms() -> u64 {
+    2_500
+}
+
+fn core_percent() -> u32 {
+    25
+}
+
+/// What becomes of handshakes once a certificate has expired.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "lowercase")]
+pub enum Expired {
+    /// It is served, with an error in the log each minute.
+    #[default]
+    Serve,
+    /// The handshake is refused by the alert `certificate_expired`.
+    Refuse,
+}
+
+/// Certificates.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Certs {
+    /// The folder that holds keys, certificates, the account and orders under way; absent: all is kept in memory
+    /// alone and obtained anew at each start.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    #[schemars(with = "PathBuf")]
+    pub directory: Option<PathBuf>,
+    /// The certificates that are served, each for names that belong together.
+    pub certificates: Vec<Certificate>,
+    /// The authority that issues them; absent: only what is imported or lies in the folder is served.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    #[schemars(with = "Authority")]
+    pub authority: Option<Authority>,
+    /// Address and port that answers http-01 challenges.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    #[schemars(with = "String")]
+    pub http_listen: Option<String>,
+    /// All fronts that serve these names, this one included: they take turns at renewing.
+    pub fronts: Vec<String>,
+    /// How long a front waits for the one before it in rank.
+    #[schemars(range(min = 1, max = 604_800))]
+    pub takeover_s: u64,
+    /// Share of a lifetime after which a certificate is renewed, where the authority names no window.
+    #[schemars(range(min = 10, max = 95))]
+    pub renew_percent: u32,
+    /// Up to this share of the lifetime is taken off, the same after each start, so that not all come due at
+    /// once.
+    #[schemars(range(min = 0, max = 20))]
+    pub jitter_percent: u32,
+    /// A warning is written from this share of the lifetime on.
+    #[schemars(range(min = 10, max = 100))]
+    pub warn_percent: u32,
+    /// Orders that may be begun within a window.
+    #[schemars(range(min = 1, max = 100_000))]
+    pub orders_most: usize,
+    /// The window.
+    #[schemars(range(min = 1, max = 2_592_000))]
+    pub order_window_s: u64,
+    /// Orders under way at once.
+    #[schemars(range(min = 1, max = 16))]
+    pub orders_at_once: usize,
+}
+
+impl Default for Certs {
+    fn default() -> Self {
+        Certs {
+            directory: None,
+            certificates: Vec::new(),
+            authority: None,
+            http_listen: None,
+            fronts: Vec::new(),
+            takeover_s: 3_600,
+            renew_percent: 67,
+            jitter_percent: 5,
+            warn_percent: 85,
+            orders_most: 50,
+            order_window_s: 10_800,
+            orders_at_once: 2,
+        }
+    }
+}
+
+/// One certificate.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Certificate {
+    /// Host names; the first names the certificate in the log, on the command line and in the folder.
+    #[schemars(length(min = 1, max = 100))]
+    pub names: Vec<String>,
+}
+
+/// An ACME authority (RFC 8555).
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Authority {
+    /// URL of its directory, `https` always. Nothing is sent to any other host or port.
+    pub directory_url: String,
+    /// File with the roots, in PEM, against which its TLS is verified.
+    pub roots_file: PathBuf,
+    /// `mailto:` addresses for the account.
+    #[serde(default)]
+    pub contacts: Vec<String>,
+    /// Whether its terms of service are agreed to; without that no account is made.
+    #[serde(default)]
+    pub terms_agreed: bool,
+    /// The account with which the authority binds this one (RFC 8555, section 7.3.4).
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[schemars(with = "ExternalAccount")]
+    pub external_account: Option<ExternalAccount>,
+    /// How control of a name is shown.
+    pub challenge: Challenge,
+    /// One answer of the authority has to be whole after this long.
+    #[serde(default = "answer_ms")]
+    #[schemars(range(min = 100, max = 120_000))]
+    pub answer_ms: u64,
+    /// One answer of the authority is at most this large.
+    #[serde(default = "answer_bytes")]
+    #[schemars(range(min = 4_096, max = 1_048_576))]
+    pub answer_bytes: usize,
+}
+
+fn answer_ms() -> u64 {
+    20_000
+}
+
+fn answer_bytes() -> usize {
+    131_072
+}
+
+/// An external account.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct ExternalAccount {
+    /// Its key's id.
+    pub key_id: String,
+    /// File with its HMAC key in base64url; mode 0600.
+    pub key_file: PathBuf,
+}
+
+/// How control of a name is shown.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub enum Challenge {
+    /// RFC 8555, section 8.3: answered on `http_listen`.
+    #[serde(rename = "http-01")]
+    Http,
+    /// RFC 8737: answered on the TLS listener.
+    #[serde(rename = "tls-alpn-01")]
+    TlsAlpn,
+}
--- /dev/null
+++ b/standins/src/acme/authority.rs
@@ -0,0 +1,776 @@
+//! The authority without sockets: what each request means, by RFC 8555.
+use super::issue::Issuer;
+use super::jws::{decode, encode, thumbprint, Jws};
+use serde::Deserialize;
+use serde_json::{json, Value};
+use std::collections::{BTreeMap, BTreeSet};
+use x509_parser::prelude::FromDer;
+
+const ACME: &str = "urn:ietf:params:acme:error:";
+/// Nonces that are remembered as given out; the oldest are forgotten first.
+const NONCES_MOST: usize = 10_000;
+/// Orders and authorizations are good for this long, in seconds.
+const EXPIRES: u64 = 7 * 86_400;
+
+/// A request, as HTTP brought it.
+#[derive(Clone, Debug, Default)]
+pub struct Request {
+    /// Method.
+    pub method: String,
+    /// Path with query.
+    pub path: String,
+    /// `Content-Type`.
+    pub content_type: String,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+/// An answer.
+#[derive(Clone, Debug, Default)]
+pub struct Response {
+    /// Status code.
+    pub status: u16,
+    /// Fields beside those of the message itself.
+    pub fields: Vec<(&'static str, String)>,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+/// A chain that nobody can use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum WrongChain {
+    /// For another key.
+    OtherKey,
+    /// It has ended.
+    Expired,
+}
+
+/// What the authority does wrong, or otherwise than at best.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Names that no order may hold (`rejectedIdentifier`).
+    pub refuse: BTreeSet<String>,
+    /// Names whose challenges fail, whatever is shown.
+    pub unprovable: BTreeSet<String>,
+    /// Orders that are still taken before all are answered `rateLimited`.
+    pub orders_left: Option<u32>,
+    /// `Retry-After` with `rateLimited` and 503, in seconds.
+    pub retry_after: Option<u64>,
+    /// All is answered 503.
+    pub down: bool,
+    /// So many signed requests are answered `badNonce`.
+    pub bad_nonces: u32,
+    /// Orders stay in `processing`.
+    pub stuck: bool,
+    /// Orders that were made are not known any more.
+    pub lose_orders: bool,
+    /// What is wrong with chains.
+    pub wrong_chain: Option<WrongChain>,
+    /// Connections end without an answer.
+    pub vanished: bool,
+    /// A pause before each byte of an answer, in milliseconds.
+    pub slow_ms: u64,
+    /// Answers stop in the middle.
+    pub cut: bool,
+    /// Answers never end.
+    pub endless: bool,
+    /// Answers are no JSON.
+    pub malformed: bool,
+    /// URLs lead to another place.
+    pub elsewhere: Option<String>,
+}
+
+struct Account {
+    jwk: Value,
+    contacts: Value,
+    active: bool,
+}
+
+struct Order {
+    account: u64,
+    names: Vec<String>,
+    auths: Vec<u64>,
+    expires: u64,
+    /// `pending` and `ready` follow from the authorizations; these do not.
+    state: Option<&'static str>,
+    certificate: Option<u64>,
+    csr: Vec<u8>,
+    error: Value,
+}
+
+struct Auth {
+    account: u64,
+    name: String,
+    token: String,
+    state: &'static str,
+    expires: u64,
+    /// The challenge that was begun: its type, state and error.
+    begun: Option<(&'static str, &'static str, Value)>,
+}
+
+struct Issued {
+    account: u64,
+    chain: String,
+    serial: String,
+    from: u64,
+    until: u64,
+    revoked: bool,
+}
+
+/// A challenge that has to be looked at.
+#[derive(Clone, Debug)]
+pub struct Check {
+    /// Of the authorization.
+    pub auth: u64,
+    /// `http-01` or `tls-alpn-01`.
+    pub kind: &'static str,
+    /// The name.
+    pub name: String,
+    /// The token.
+    pub token: String,
+    /// What has to be shown.
+    pub authorization: String,
+}
+
+/// The authority.
+pub struct Authority {
+    base: String,
+    /// Its keys.
+    pub issuer: Issuer,
+    /// What it does wrong.
+    pub faults: Faults,
+    /// Seconds that a certificate lives.
+    pub lifetime: u64,
+    /// Seconds by which its clock is moved.
+    pub clock: i64,
+    /// Windows that it names for renewal, in seconds from a certificate's start.
+    pub window: Option<(u64, u64)>,
+    /// External accounts that it knows; if there are any, one is required.
+    pub external: BTreeMap<String, Vec<u8>>,
+    accounts: BTreeMap<u64, Account>,
+    orders: BTreeMap<u64, Order>,
+    auths: BTreeMap<u64, Auth>,
+    issued: BTreeMap<u64, Issued>,
+    nonces: BTreeSet<u64>,
+    checks: Vec<Check>,
+    last: u64,
+    dice: u64,
+    /// Requests answered, by the first step of their path.
+    pub seen: BTreeMap<String, u64>,
+}
+
+type Answer = Result<Response, Response>;
+
+fn problem(status: u16, kind: &str, detail: &str) -> Response {
+    let body = json!({"type": format!("{ACME}{kind}"), "detail": detail, "status": status});
+    let fields = vec![("Content-Type", "application/problem+json".to_string())];
+    Response { status, fields, body: body.to_string().into_bytes() }
+}
+
+fn ok(status: u16, body: Value) -> Response {
+    let fields = vec![("Content-Type", "application/json".to_string())];
+    Response { status, fields, body: body.to_string().into_bytes() }
+}
+
+/// Seconds since the Unix epoch as RFC 3339 wants them.
+fn rfc3339(wall: u64) -> String {
+    let (days, rest) = (wall / 86_400, wall % 86_400);
+    // Civil date from days, by the usual shift to years that begin in March.
+    let z = days + 719_468;
+    let (era, doe) = (z / 146_097, z % 146_097);
+    let yoe = (doe - doe / 1_460 + doe / 36_524 - doe / 146_096) / 365;
+    let doy = doe - (365 * yoe + yoe / 4 - yoe / 100);
+    let mp = (5 * doy + 2) / 153;
+    let (day, month) = (doy - (153 * mp + 2) / 5 + 1, if mp < 10 { mp + 3 } else { mp - 9 });
+    let year = yoe + era * 400 + u64::from(month <= 2);
+    format!("{year:04}-{month:02}-{day:02}T{:02}:{:02}:{:02}Z", rest / 3_600, rest / 60 % 60, rest % 60)
+}
+
+impl Authority {
+    /// An authority at a base URL without a slash at its end. `seed`: of its tokens and nonces.
+    pub fn new(base: String, seed: u64) -> Self {
+        Authority {
+            base,
+            issuer: Issuer::new(),
+            faults: Faults::default(),
+            lifetime: 90 * 86_400,
+            clock: 0,
+            window: None,
+            external: BTreeMap::new(),
+            accounts: BTreeMap::new(),
+            orders: BTreeMap::new(),
+            auths: BTreeMap::new(),
+            issued: BTreeMap::new(),
+            nonces: BTreeSet::new(),
+            checks: Vec::new(),
+            last: 0,
+            dice: seed | 1,
+            seen: BTreeMap::new(),
+        }
+    }
+
+    /// URL of its directory.
+    pub fn directory(&self) -> String {
+        format!("{}/directory", self.base)
+    }
+
+    /// Moves its place: the port is known once it listens.
+    pub fn set_base(&mut self, base: String) {
+        self.base = base;
+    }
+
+    /// Forgets all accounts.
+    pub fn forget_accounts(&mut self) {
+        self.accounts.clear();
+    }
+
+    /// Certificates issued so far: serial, names' order is not kept, and whether it is revoked.
+    pub fn issued(&self) -> Vec<(String, bool)> {
+        self.issued.values().map(|i| (i.serial.clone(), i.revoked)).collect()
+    }
+
+    /// Orders made so far.
+    pub fn orders(&self) -> usize {
+        self.orders.len()
+    }
+
+    /// Challenges to be looked at; each has to be answered by [`Authority::checked`].
+    pub fn checks(&mut self) -> Vec<Check> {
+        std::mem::take(&mut self.checks)
+    }
+
+    /// A challenge was looked at.
+    pub fn checked(&mut self, check: &Check, shown: Result<(), String>) {
+        let unprovable = self.faults.unprovable.contains(&check.name);
+        let Some(auth) = self.auths.get_mut(&check.auth).filter(|a| a.state == "pending") else { return };
+        let shown = if unprovable { Err("told to".into()) } else { shown };
+        match shown {
+            Ok(()) => (auth.state, auth.begun) = ("valid", Some((check.kind, "valid", Value::Null))),
+            Err(why) => {
+                let error = json!({"type": format!("{ACME}connection"), "detail": why, "status": 400});
+                (auth.state, auth.begun) = ("invalid", Some((check.kind, "invalid", error)));
+            }
+        }
+    }
+
+    fn number(&mut self) -> u64 {
+        self.last += 1;
+        self.last
+    }
+
+    fn random(&mut self) -> u64 {
+        self.dice = self.dice.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+        let x = self.dice;
+        (x ^ (x >> 31)).wrapping_mul(0x9e37_79b9_7f4a_7c15)
+    }
+
+    fn nonce(&mut self) -> String {
+        let nonce = self.random();
+        self.nonces.insert(nonce);
+        if self.nonces.len() > NONCES_MOST {
+            self.nonces.pop_first();
+        }
+        encode(nonce.to_be_bytes())
+    }
+
+    /// Answers a request at a second of the wall clock.
+    pub fn handle(&mut self, wall: u64, request: &Request) -> Response {
+        let now = wall.saturating_add_signed(self.clock);
+        let path = request.path.trim_matches('/').split('/').map(str::to_string).collect::<Vec<_>>();
+        *self.seen.entry(path[0].clone()).or_default() += 1;
+        let mut answer = if self.faults.down {
+            problem(503, "serverInternal", "told to be down")
+        } else {
+            self.route(now, request, &path).unwrap_or_else(|e| e)
+        };
+        if matches!(answer.status, 429 | 503) {
+            answer.fields.extend(self.faults.retry_after.map(|s| ("Retry-After", s.to_string())));
+        }
+        if request.method != "GET" {
+            let nonce = self.nonce();
+            answer.fields.push(("Replay-Nonce", nonce));
+        }
+        let directory = self.directory();
+        answer.fields.push(("Link", format!("<{directory}>;rel=\"index\"")));
+        if self.faults.malformed {
+            answer.body = br#"{"status": "pending", "authorizations": [[[[{"#.to_vec();
+        }
+        answer
+    }
+
+    fn route(&mut self, now: u64, request: &Request, path: &[String]) -> Answer {
+        let path: Vec<&str> = path.iter().map(String::as_str).collect();
+        match (request.method.as_str(), &path[..]) {
+            ("GET", ["directory"]) => Ok(self.list()),
+            ("HEAD", ["nonce"]) => Ok(Response { status: 200, ..Response::default() }),
+            ("GET", ["nonce"]) => Ok(Response { status: 204, ..Response::default() }),
+            ("GET", ["renewal", id]) => self.renewal(id),
+            ("POST", ["account", "new"]) => self.new_account(request),
+            ("POST", ["revoke"]) => self.revoke(request),
+            ("POST", _) => {
+                let (account, payload) = self.signed(request)?;
+                self.posted(now, account, &path, &payload)
+            }
+            _ => Err(problem(405, "malformed", "no such method here")),
+        }
+    }
+
+    fn url(&self, rest: &str) -> String {
+        format!("{}/{rest}", self.faults.elsewhere.as_ref().unwrap_or(&self.base))
+    }
+
+    fn list(&self) -> Response {
+        ok(
+            200,
+            json!({"newNonce": self.url("nonce"), "newAccount": self.url("account/new"),
+                   "newOrder": self.url("order/new"), "revokeCert": self.url("revoke"),
+                   "keyChange": self.url("key-change"), "renewalInfo": self.url("renewal"),
+                   "meta": {"termsOfService": self.url("terms"),
+                            "externalAccountRequired": !self.external.is_empty()}}),
+        )
+    }
+
+    /// Form, nonce and URL of a signed request (sections 6.2 to 6.5).
+    fn envelope(&mut self, request: &Request) -> Result<Jws, Response> {
+        if request.content_type != "application/jose+json" {
+            return Err(problem(415, "malformed", "the content type is not application/jose+json"));
+        }
+        let jws = Jws::parse(&request.body).ok_or_else(|| problem(400, "malformed", "no flattened JWS"))?;
+        let nonce = jws.header["nonce"].as_str().and_then(decode);
+        let nonce = nonce.and_then(|n| n.try_into().ok()).map(u64::from_be_bytes);
+        let known = nonce.is_some_and(|n| self.nonces.remove(&n));
+        if self.faults.bad_nonces > 0 || !known {
+            self.faults.bad_nonces = self.faults.bad_nonces.saturating_sub(1);
+            return Err(problem(400, "badNonce", "not given out, or used before"));
+        }
+        let url = format!("{}/{}", self.base, request.path.trim_start_matches('/'));
+        if jws.header["url"].as_str() != Some(&url) {
+            return Err(problem(401, "unauthorized", "signed for another URL"));
+        }
+        if jws.header.get("kid").is_some() == jws.header.get("jwk").is_some() {
+            return Err(problem(400, "malformed", "not exactly one of kid and jwk"));
+        }
+        Ok(jws)
+    }
+
+    fn verified(jws: &Jws, jwk: &Value) -> Result<(), Response> {
+        match jws.verifies(jwk) {
+            Ok(true) => Ok(()),
+            Ok(false) => Err(problem(400, "malformed", "the signature does not verify")),
+            Err(kind) => {
+                let mut answer = problem(400, kind, "the algorithm does not fit the key");
+                let body: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+                let mut body = body;
+                body["algorithms"] = json!(["ES256", "ES384", "EdDSA", "RS256"]);
+                answer.body = body.to_string().into_bytes();
+                Err(answer)
+            }
+        }
+    }
+
+    /// The account that signed a request, by its URL, and the payload.
+    fn signed(&mut self, request: &Request) -> Result<(u64, Vec<u8>), Response> {
+        let jws = self.envelope(request)?;
+        let prefix = format!("{}/account/", self.base);
+        let kid = jws.header["kid"].as_str().ok_or_else(|| problem(400, "malformed", "no kid"))?;
+        let number = kid.strip_prefix(&prefix).and_then(|n| n.parse().ok());
+        let unknown = || problem(400, "accountDoesNotExist", "no such account");
+        let number = number.ok_or_else(unknown)?;
+        let account = self.accounts.get(&number).ok_or_else(unknown)?;
+        Self::verified(&jws, &account.jwk)?;
+        if !account.active {
+            return Err(problem(401, "unauthorized", "the account is deactivated"));
+        }
+        Ok((number, jws.payload))
+    }
+
+    fn new_account(&mut self, request: &Request) -> Answer {
+        let jws = self.envelope(request)?;
+        let jwk = jws.header["jwk"].clone();
+        Self::verified(&jws, &jwk)?;
+        let wanted: Value = serde_json::from_slice(&jws.payload)
+            .map_err(|_| problem(400, "malformed", "the payload is no JSON"))?;
+        let print = thumbprint(&jwk).ok_or_else(|| problem(400, "badPublicKey", "a key that is none"))?;
+        let same = |(_, a): &(&u64, &Account)| thumbprint(&a.jwk).as_ref() == Some(&print);
+        if let Some((number, _)) = self.accounts.iter().find(same) {
+            return Ok(self.account(200, *number));
+        }
+        if wanted["onlyReturnExisting"] == json!(true) {
+            return Err(problem(400, "accountDoesNotExist", "no account with this key"));
+        }
+        if wanted["termsOfServiceAgreed"] != json!(true) {
+            return Err(problem(403, "userActionRequired", "the terms are not agreed to"));
+        }
+        let contacts = wanted["contact"].as_array().cloned().unwrap_or_default();
+        if contacts.iter().any(|c| !c.as_str().is_some_and(|c| c.starts_with("mailto:"))) {
+            return Err(problem(400, "unsupportedContact", "only mailto"));
+        }
+        if !self.external.is_empty() {
+            let refused = |why| problem(403, "externalAccountRequired", why);
+            let binding =
+                Jws::read(&wanted["externalAccountBinding"]).ok_or_else(|| refused("no binding"))?;
+            let kid = binding.header["kid"].as_str().unwrap_or("");
+            let key = self.external.get(kid).ok_or_else(|| refused("an unknown external account"))?;
+            let bound: Value = serde_json::from_slice(&binding.payload).unwrap_or_default();
+            let url = format!("{}/account/new", self.base);
+            let fits = bound == jwk && binding.header["url"].as_str() == Some(&url);
+            if !binding.verifies_hmac(key) || !fits || binding.header.get("nonce").is_some() {
+                return Err(refused("the binding does not verify"));
+            }
+        }
+        let number = self.number();
+        self.accounts.insert(number, Account { jwk, contacts: contacts.into(), active: true });
+        Ok(self.account(201, number))
+    }
+
+    fn account(&self, status: u16, number: u64) -> Response {
+        let account = &self.accounts[&number];
+        let state = if account.active { "valid" } else { "deactivated" };
+        let url = self.url(&format!("account/{number}"));
+        let orders = format!("{url}/orders");
+        let mut answer = ok(status, json!({"status": state, "contact": account.contacts, "orders": orders}));
+        answer.fields.push(("Location", url));
+        answer
+    }
+
+    fn posted(&mut self, now: u64, account: u64, path: &[&str], payload: &[u8]) -> Answer {
+        let missing = || problem(404, "malformed", "no such thing");
+        let number = |text: &str| text.parse::<u64>().map_err(|_| missing());
+        let wanted: Value = match payload {
+            // POST-as-GET (section 6.3).
+            [] => Value::Null,
+            _ => serde_json::from_slice(payload)
+                .map_err(|_| problem(400, "malformed", "the payload is no JSON"))?,
+        };
+        match path {
+            ["order", "new"] => self.new_order(now, account, &wanted),
+            ["order", n] => {
+                let n = number(n)?;
+                self.mine(account, n)?;
+                Ok(self.order(now, 200, n))
+            }
+            ["order", n, "finalize"] => {
+                let n = number(n)?;
+                self.mine(account, n)?;
+                self.finalize(now, n, &wanted)
+            }
+            ["authz", n] => {
+                let n = number(n)?;
+                let auth = self.auths.get_mut(&n).filter(|a| a.account == account).ok_or_else(missing)?;
+                if wanted["status"] == "deactivated" {
+                    auth.state = "deactivated";
+                }
+                Ok(ok(200, self.auth(now, n)))
+            }
+            ["challenge", n, kind] => self.challenge(now, account, number(n)?, kind, &wanted),
+            ["cert", n] => {
+                let found = self.issued.get(&number(n)?).filter(|c| c.account == account);
+                let chain = found.ok_or_else(missing)?.chain.clone();
+                let fields = vec![("Content-Type", "application/pem-certificate-chain".to_string())];
+                Ok(Response { status: 200, fields, body: chain.into_bytes() })
+            }
+            ["key-change"] => self.key_change(account, &wanted),
+            ["account", n] if number(n)? == account => {
+                if let Some(found) = self.accounts.get_mut(&account) {
+                    if let Some(contacts) = wanted.get("contact") {
+                        found.contacts = contacts.clone();
+                    }
+                    found.active &= wanted["status"] != "deactivated";
+                }
+                Ok(self.account(200, account))
+            }
+            ["account", n, "orders"] if number(n)? == account => {
+                let mine = self.orders.iter().filter(|(_, o)| o.account == account);
+                let urls: Vec<_> = mine.map(|(n, _)| self.url(&format!("order/{n}"))).collect();
+                Ok(ok(200, json!({"orders": urls})))
+            }
+            _ => Err(missing()),
+        }
+    }
+
+    fn mine(&self, account: u64, order: u64) -> Result<(), Response> {
+        let found = self.orders.get(&order).filter(|o| o.account == account && !self.faults.lose_orders);
+        found.map(|_| ()).ok_or_else(|| problem(404, "malformed", "no such order"))
+    }
+
+    fn new_order(&mut self, now: u64, account: u64, wanted: &Value) -> Answer {
+        let all = wanted["identifiers"].as_array().cloned().unwrap_or_default();
+        let name = |v: &Value| match (v["type"].as_str(), v["value"].as_str()) {
+            (Some("dns"), Some(name)) if !name.is_empty() && !name.contains('*') => Some(name.to_string()),
+            _ => None,
+        };
+        let names: Option<Vec<_>> = all.iter().map(name).collect();
+        let names = names.filter(|n| !n.is_empty() && n.len() <= 100);
+        let mut names =
+            names.ok_or_else(|| problem(400, "unsupportedIdentifier", "only 1 to 100 dns names"))?;
+        names.sort();
+        names.dedup();
+        let refused: Vec<_> = names.iter().filter(|n| self.faults.refuse.contains(*n)).collect();
+        if !refused.is_empty() {
+            let sub = |n: &&String| {
+                json!({"type": format!("{ACME}rejectedIdentifier"), "detail": "told to refuse it",
+                       "identifier": {"type": "dns", "value": n}})
+            };
+            let mut answer = problem(403, "rejectedIdentifier", "names that can't be had");
+            let mut body: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+            body["subproblems"] = refused.iter().map(sub).collect();
+            answer.body = body.to_string().into_bytes();
+            return Err(answer);
+        }
+        if let Some(left) = &mut self.faults.orders_left {
+            if *left == 0 {
+                return Err(problem(429, "rateLimited", "too many orders"));
+            }
+            *left -= 1;
+        }
+        let expires = now + EXPIRES;
+        let mut auths = Vec::new();
+        for name in &names {
+            let number = self.number();
+            let token = encode([self.random().to_be_bytes(), self.random().to_be_bytes()].concat());
+            let name = name.to_ascii_lowercase();
+            self.auths.insert(number, Auth { account, name, token, state: "pending", expires, begun: None });
+            auths.push(number);
+        }
+        let number = self.number();
+        let order = Order {
+            account,
+            names: names.iter().map(|n| n.to_ascii_lowercase()).collect(),
+            auths,
+            expires,
+            state: None,
+            certificate: None,
+            csr: Vec::new(),
+            error: Value::Null,
+        };
+        self.orders.insert(number, order);
+        Ok(self.order(now, 201, number))
+    }
+
+    /// Walks an order on and tells how it stands (section 7.1.6).
+    fn order(&mut self, now: u64, status: u16, number: u64) -> Response {
+        if self.orders[&number].state == Some("processing") && !self.faults.stuck {
+            self.issue(now, number);
+        }
+        let order = &self.orders[&number];
+        let states: Vec<_> = order.auths.iter().map(|a| self.auths[a].state).collect();
+        let state = match order.state {
+            Some(state) => state,
+            None if now > order.expires || states.iter().any(|s| !matches!(*s, "pending" | "valid")) => {
+                "invalid"
+            }
+            None if states.iter().all(|s| *s == "valid") => "ready",
+            None => "pending",
+        };
+        let names: Vec<_> = order.names.iter().map(|n| json!({"type": "dns", "value": n})).collect();
+        let auths: Vec<_> = order.auths.iter().map(|a| self.url(&format!("authz/{a}"))).collect();
+        let mut body = json!({"status": state, "expires": rfc3339(order.expires), "identifiers": names,
+            "authorizations": auths, "finalize": self.url(&format!("order/{number}/finalize"))});
+        if let Some(cert) = order.certificate {
+            body["certificate"] = self.url(&format!("cert/{cert}")).into();
+        }
+        if !order.error.is_null() {
+            body["error"] = order.error.clone();
+        }
+        let mut answer = ok(status, body);
+        answer.fields.push(("Location", self.url(&format!("order/{number}"))));
+        if state == "processing" {
+            answer.fields.push(("Retry-After", "1".into()));
+        }
+        answer
+    }
+
+    fn finalize(&mut self, now: u64, number: u64, wanted: &Value) -> Answer {
+        let state: Value = serde_json::from_slice(&self.order(now, 200, number).body).unwrap_or_default();
+        if state["status"] != "ready" {
+            return Err(problem(403, "orderNotReady", "the order is not ready"));
+        }
+        let csr = wanted["csr"].as_str().and_then(decode).unwrap_or_default();
+        let bad = |why: &str| problem(400, "badCSR", why);
+        let names = Issuer::asked(&csr).map_err(|why| bad(&why))?;
+        let order = self.orders.get_mut(&number).ok_or_else(|| bad("no order"))?;
+        if names != order.names {
+            return Err(bad("the names are not those of the order"));
+        }
+        (order.csr, order.state) = (csr, Some("processing"));
+        // It is issued when it is looked at next: clients have to wait for that.
+        let order = &self.orders[&number];
+        let names = order.names.clone();
+        let auths: Vec<_> = order.auths.iter().map(|a| self.url(&format!("authz/{a}"))).collect();
+        let mut answer = ok(
+            200,
+            json!({"status": "processing", "authorizations": auths,
+                   "identifiers": names.iter().map(|n| json!({"type": "dns", "value": n})).collect::<Vec<_>>(),
+                   "finalize": self.url(&format!("order/{number}/finalize"))}),
+        );
+        answer.fields.push(("Location", self.url(&format!("order/{number}"))));
+        answer.fields.push(("Retry-After", "1".into()));
+        Ok(answer)
+    }
+
+    fn issue(&mut self, now: u64, number: u64) {
+        let (csr, account) = (self.orders[&number].csr.clone(), self.orders[&number].account);
+        let wrong = self.faults.wrong_chain;
+        let (from, until) = match wrong {
+            Some(WrongChain::Expired) => {
+                (now.saturating_sub(2 * self.lifetime), now.saturating_sub(self.lifetime))
+            }
+            _ => (now.saturating_sub(60), now + self.lifetime),
+        };
+        let made = self.issuer.chain(&csr, from, until, wrong == Some(WrongChain::OtherKey));
+        let cert = self.number();
+        let Some(order) = self.orders.get_mut(&number) else { return };
+        match made {
+            Ok((chain, serial)) => {
+                (order.state, order.certificate) = (Some("valid"), Some(cert));
+                self.issued.insert(cert, Issued { account, chain, serial, from, until, revoked: false });
+            }
+            Err(why) => {
+                order.state = Some("invalid");
+                order.error = json!({"type": format!("{ACME}badCSR"), "detail": why});
+            }
+        }
+    }
+
+    fn auth(&self, now: u64, number: u64) -> Value {
+        let auth = &self.auths[&number];
+        let state = if now > auth.expires && auth.state == "pending" { "expired" } else { auth.state };
+        let challenge = |kind: &'static str| {
+            let (status, error) = match &auth.begun {
+                Some((begun, status, error)) if *begun == kind => (*status, error.clone()),
+                _ => ("pending", Value::Null),
+            };
+            let mut found = json!({"type": kind, "status": status, "token": auth.token,
+                                   "url": self.url(&format!("challenge/{number}/{kind}"))});
+            if !error.is_null() {
+                found["error"] = error;
+            }
+            found
+        };
+        let challenges = ["http-01", "tls-alpn-01"].map(challenge);
+        json!({"status": state, "expires": rfc3339(auth.expires), "challenges": challenges,
+               "identifier": {"type": "dns", "value": auth.name}})
+    }
+
+    fn challenge(&mut self, now: u64, account: u64, number: u64, kind: &str, wanted: &Value) -> Answer {
+        let missing = || problem(404, "malformed", "no such challenge");
+        let kind = ["http-01", "tls-alpn-01"].into_iter().find(|k| *k == kind).ok_or_else(missing)?;
+        let auth = self.auths.get(&number).filter(|a| a.account == account).ok_or_else(missing)?;
+        if wanted.is_object() && auth.state == "pending" && auth.begun.is_none() {
+            let print = thumbprint(&self.accounts[&account].jwk).unwrap_or_default();
+            let authorization = format!("{}.{print}", auth.token);
+            let (name, token) = (auth.name.clone(), auth.token.clone());
+            self.checks.push(Check { auth: number, kind, name, token, authorization });
+            self.auths
+                .get_mut(&number)
+                .into_iter()
+                .for_each(|a| a.begun = Some((kind, "processing", Value::Null)));
+        }
+        let body = self.auth(now, number);
+        let found = body["challenges"].as_array().into_iter().flatten().find(|c| c["type"] == kind).cloned();
+        Ok(ok(200, found.unwrap_or_default()))
+    }
+
+    /// RFC 8555, section 7.3.5.
+    fn key_change(&mut self, account: u64, wanted: &Value) -> Answer {
+        let bad = |why: &str| problem(400, "malformed", why);
+        let inner = Jws::read(wanted).ok_or_else(|| bad("no inner JWS"))?;
+        let jwk = inner.header["jwk"].clone();
+        Self::verified(&inner, &jwk)?;
+        let claims: Value =
+            serde_json::from_slice(&inner.payload).map_err(|_| bad("the claims are no JSON"))?;
+        let url = format!("{}/key-change", self.base);
+        let kid = format!("{}/account/{account}", self.base);
+        if inner.header["url"].as_str() != Some(&url) || inner.header.get("nonce").is_some() {
+            return Err(bad("the inner header does not fit"));
+        }
+        if claims["account"].as_str() != Some(&kid) || claims["oldKey"] != self.accounts[&account].jwk {
+            return Err(bad("the claims name another account or key"));
+        }
+        let print = thumbprint(&jwk);
+        if self.accounts.values().any(|a| thumbprint(&a.jwk) == print) {
+            return Err(problem(409, "malformed", "the key belongs to an account"));
+        }
+        self.accounts.get_mut(&account).into_iter().for_each(|a| a.jwk = jwk.clone());
+        Ok(self.account(200, account))
+    }
+
+    /// Section 7.6: by the account that it was issued to.
+    fn revoke(&mut self, request: &Request) -> Answer {
+        let (account, payload) = self.signed(request)?;
+        let wanted: Value = serde_json::from_slice(&payload).unwrap_or_default();
+        let der = wanted["certificate"].as_str().and_then(decode).unwrap_or_default();
+        let bad = |why: &str| problem(400, "malformed", why);
+        let (_, cert) =
+            x509_parser::certificate::X509Certificate::from_der(&der).map_err(|_| bad("no certificate"))?;
+        let serial: String = cert.raw_serial().iter().map(|b| format!("{b:02x}")).collect();
+        if wanted.get("reason").is_some_and(|r| !matches!(r.as_u64(), Some(0..=6 | 8..=10))) {
+            return Err(problem(400, "badRevocationReason", "no such reason"));
+        }
+        let found = self.issued.values_mut().find(|c| c.serial == serial && c.account == account);
+        let found = found.ok_or_else(|| problem(403, "unauthorized", "not issued to this account"))?;
+        if std::mem::replace(&mut found.revoked, true) {
+            return Err(problem(400, "alreadyRevoked", "it was revoked before"));
+        }
+        Ok(Response { status: 200, ..Response::default() })
+    }
+
+    /// RFC 9773, section 4.2.
+    fn renewal(&self, id: &str) -> Answer {
+        let serial = id.split_once('.').and_then(|(_, s)| decode(s)).unwrap_or_default();
+        let serial: String = serial.iter().map(|b| format!("{b:02x}")).collect();
+        let found = self.issued.values().find(|c| c.serial == serial);
+        let found = found.ok_or_else(|| problem(404, "malformed", "no such certificate"))?;
+        let (start, end) = match (found.revoked, self.window) {
+            (true, _) => (found.from, found.from + 1),
+            (_, Some((start, end))) => (found.from + start, found.from + end),
+            _ => (
+                found.from + (found.until - found.from) * 2 / 3,
+                found.from + (found.until - found.from) * 3 / 4,
+            ),
+        };
+        let mut answer = ok(200, json!({"suggestedWindow": {"start": rfc3339(start), "end": rfc3339(end)}}));
+        answer.fields.push(("Retry-After", "21600".into()));
+        Ok(answer)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn moments_are_written_as_rfc_3339_wants_them() {
+        for (wall, text) in [
+            (0, "1970-01-01T00:00:00Z"),
+            (951_782_400, "2000-02-29T00:00:00Z"),
+            (1_796_142_099, "2026-12-01T14:41:39Z"),
+        ] {
+            assert_eq!(rfc3339(wall), text);
+        }
+    }
+
+    #[test]
+    fn what_is_not_signed_rightly_gets_a_problem_and_a_nonce() {
+        let mut authority = Authority::new("https://a".into(), 7);
+        let post = |body: &str, content_type: &str| Request {
+            method: "POST".into(),
+            path: "/order/new".into(),
+            content_type: content_type.into(),
+            body: body.as_bytes().to_vec(),
+        };
+        for (body, content_type, status) in [
+            ("{}", "application/json", 415),
+            ("{}", "application/jose+json", 400),
+            (r#"{"protected":"e30","payload":"","signature":""}"#, "application/jose+json", 400),
+        ] {
+            let answer = authority.handle(0, &post(body, content_type));
+            assert_eq!(answer.status, status);
+            assert!(answer.fields.iter().any(|(n, _)| *n == "Replay-Nonce"));
+        }
+        let get = Request { method: "GET".into(), path: "/order/1".into(), ..Request::default() };
+        assert_eq!(authority.handle(0, &get).status, 405, "POST-as-GET alone");
+    }
+}
--- /dev/null
+++ b/standins/src/acme/jws.rs
@@ -0,0 +1,90 @@
+//! Verifies flattened JWS (RFC 7515; RFC 8555, section 6.2).
+use base64::engine::general_purpose::URL_SAFE_NO_PAD;
+use base64::Engine;
+use ring::signature as sig;
+use serde_json::Value;
+
+pub fn encode(bytes: impl AsRef<[u8]>) -> String {
+    URL_SAFE_NO_PAD.encode(bytes)
+}
+
+pub fn decode(text: &str) -> Option<Vec<u8>> {
+    URL_SAFE_NO_PAD.decode(text).ok()
+}
+
+/// A JWS whose form is right; its signature is not verified yet.
+pub struct Jws {
+    pub header: Value,
+    pub payload: Vec<u8>,
+    input: String,
+    signature: Vec<u8>,
+}
+
+impl Jws {
+    pub fn parse(body: &[u8]) -> Option<Jws> {
+        let value: Value = serde_json::from_slice(body).ok()?;
+        Self::read(&value)
+    }
+
+    pub fn read(value: &Value) -> Option<Jws> {
+        let part = |name: &str| value[name].as_str();
+        // Neither unprotected headers nor several signatures (section 6.2).
+        if value.get("header").is_some() || value.get("signatures").is_some() {
+            return None;
+        }
+        let (protected, payload) = (part("protected")?, part("payload")?);
+        Some(Jws {
+            header: serde_json::from_slice(&decode(protected)?).ok()?,
+            payload: decode(payload)?,
+            input: format!("{protected}.{payload}"),
+            signature: decode(part("signature")?)?,
+        })
+    }
+
+    /// Whether the public key (a JWK) made the signature, under the algorithm that belongs to that key.
+    pub fn verifies(&self, jwk: &Value) -> Result<bool, &'static str> {
+        let number = |name: &str| jwk[name].as_str().and_then(decode);
+        let kind = (jwk["kty"].as_str().unwrap_or(""), jwk["crv"].as_str().unwrap_or(""));
+        let alg = self.header["alg"].as_str().unwrap_or("");
+        let check = |algorithm: &'static dyn sig::VerificationAlgorithm, key: Vec<u8>| {
+            let key = sig::UnparsedPublicKey::new(algorithm, key);
+            key.verify(self.input.as_bytes(), &self.signature).is_ok()
+        };
+        let point = || Some([vec![4], number("x")?, number("y")?].concat());
+        match (alg, kind) {
+            ("ES256", ("EC", "P-256")) => {
+                Ok(point().is_some_and(|p| check(&sig::ECDSA_P256_SHA256_FIXED, p)))
+            }
+            ("ES384", ("EC", "P-384")) => {
+                Ok(point().is_some_and(|p| check(&sig::ECDSA_P384_SHA384_FIXED, p)))
+            }
+            ("EdDSA", ("OKP", "Ed25519")) => Ok(number("x").is_some_and(|x| check(&sig::ED25519, x))),
+            ("RS256", ("RSA", _)) => Ok(number("n").zip(number("e")).is_some_and(|(n, e)| {
+                let key = sig::RsaPublicKeyComponents { n, e };
+                key.verify(&sig::RSA_PKCS1_2048_8192_SHA256, self.input.as_bytes(), &self.signature).is_ok()
+            })),
+            _ => Err("badSignatureAlgorithm"),
+        }
+    }
+
+    /// Whether an HMAC key made the signature (RFC 8555, section 7.3.4).
+    pub fn verifies_hmac(&self, key: &[u8]) -> bool {
+        let key = ring::hmac::Key::new(ring::hmac::HMAC_SHA256, key);
+        let hs = self.header["alg"].as_str() == Some("HS256");
+        hs && ring::hmac::verify(&key, self.input.as_bytes(), &self.signature).is_ok()
+    }
+}
+
+/// The thumbprint of a JWK (RFC 7638), in base64url; `None`: it lacks a member.
+pub fn thumbprint(jwk: &Value) -> Option<String> {
+    let names: &[&str] = match jwk["kty"].as_str()? {
+        "EC" => &["crv", "kty", "x", "y"],
+        "OKP" => &["crv", "kty", "x"],
+        "RSA" => &["e", "kty", "n"],
+        _ => return None,
+    };
+    let members: Option<Vec<_>> =
+        names.iter().map(|n| jwk[n].as_str().map(|v| format!("{n:?}:{v:?}"))).collect();
+    let text = format!("{{{}}}", members?.join(","));
+    Some(encode(ring::digest::digest(&ring::digest::SHA256, text.as_bytes())))
+}
--- /dev/null
+++ b/standins/src/acme/server.rs
@@ -0,0 +1,245 @@
+//! The authority on HTTPS, on loopback.
+use super::authority::{Authority, Faults, Request, Response};
+use super::validate::look;
+use rustls::pki_types::pem::PemObject;
+use rustls::pki_types::{CertificateDer, PrivateKeyDer};
+use rustls::{ServerConfig, ServerConnection, StreamOwned};
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// Connections at once; one more is closed.
+const CONNECTIONS_MOST: usize = 64;
+const REQUEST_MOST: usize = 256 * 1024;
+/// A connection ends after this long without a byte.
+const SILENCE_MOST: Duration = Duration::from_secs(10);
+/// An answer that never ends does end here: bounded in bytes, so that no test hangs.
+const ENDLESS: usize = 16 << 20;
+
+struct Shared {
+    authority: Mutex<Authority>,
+    config: Arc<ServerConfig>,
+    http_port: u16,
+    tls_port: u16,
+    stop: AtomicBool,
+    open: AtomicUsize,
+}
+
+impl Shared {
+    fn authority(&self) -> MutexGuard<'_, Authority> {
+        // A panic elsewhere has been told there.
+        self.authority.lock().unwrap_or_else(|e| e.into_inner())
+    }
+}
+
+/// A running authority; it ends when this is dropped.
+pub struct Server {
+    shared: Arc<Shared>,
+    /// Where it listens.
+    pub address: SocketAddr,
+    accepting: Option<std::thread::JoinHandle<()>>,
+}
+
+impl Server {
+    /// Listens on an address; challenges are looked at on the two ports of loopback. `seed`: of tokens and nonces.
+    pub fn start(listen: SocketAddr, http_port: u16, tls_port: u16, seed: u64) -> io::Result<Server> {
+        let listener = TcpListener::bind(listen)?;
+        let address = listener.local_addr()?;
+        let mut authority = Authority::new(format!("https://{address}"), seed);
+        let (key, chain) = authority.issuer.own();
+        let bad = |e: &dyn std::fmt::Display| io::Error::other(e.to_string());
+        let chain: Result<Vec<_>, _> = CertificateDer::pem_slice_iter(chain.as_bytes()).collect();
+        let key = PrivateKeyDer::from_pem_slice(key.as_bytes()).map_err(|e| bad(&e))?;
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+        let config = ServerConfig::builder_with_provider(provider)
+            .with_safe_default_protocol_versions()
+            .map_err(|e| bad(&e))?
+            .with_no_client_auth()
+            .with_single_cert(chain.map_err(|e| bad(&e))?, key)
+            .map_err(|e| bad(&e))?;
+        let shared = Arc::new(Shared {
+            authority: Mutex::new(authority),
+            config: Arc::new(config),
+            http_port,
+            tls_port,
+            stop: AtomicBool::new(false),
+            open: AtomicUsize::new(0),
+        });
+        let accepting = {
+            let shared = Arc::clone(&shared);
+            std::thread::spawn(move || accept(&shared, &listener))
+        };
+        Ok(Server { shared, address, accepting: Some(accepting) })
+    }
+
+    /// The authority, to look into it or to tell it what to do wrong.
+    pub fn authority(&self) -> MutexGuard<'_, Authority> {
+        self.shared.authority()
+    }
+
+    /// The root of its HTTPS and of what it issues, in PEM.
+    pub fn root(&self) -> String {
+        self.authority().issuer.root().to_string()
+    }
+
+    /// URL of its directory.
+    pub fn directory(&self) -> String {
+        self.authority().directory()
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.shared.stop.store(true, Ordering::SeqCst);
+        // Wakes the accepting thread; it may have ended already.
+        drop(TcpStream::connect(self.address));
+        self.accepting.take().map(std::thread::JoinHandle::join);
+    }
+}
+
+fn accept(shared: &Arc<Shared>, listener: &TcpListener) {
+    for socket in listener.incoming() {
+        if shared.stop.load(Ordering::SeqCst) {
+            return;
+        }
+        let Ok(socket) = socket else { continue };
+        if shared.open.fetch_add(1, Ordering::SeqCst) >= CONNECTIONS_MOST {
+            shared.open.fetch_sub(1, Ordering::SeqCst);
+            continue;
+        }
+        let shared = Arc::clone(shared);
+        std::thread::spawn(move || {
+            // A client that breaks off is its own affair.
+            let _ = converse(&shared, socket);
+            shared.open.fetch_sub(1, Ordering::SeqCst);
+        });
+    }
+}
+
+fn converse(shared: &Arc<Shared>, socket: TcpStream) -> io::Result<()> {
+    if shared.authority().faults.vanished {
+        return Ok(());
+    }
+    socket.set_read_timeout(Some(SILENCE_MOST))?;
+    socket.set_write_timeout(Some(SILENCE_MOST))?;
+    socket.set_nodelay(true)?;
+    let connection = ServerConnection::new(Arc::clone(&shared.config)).map_err(io::Error::other)?;
+    let mut stream = StreamOwned::new(connection, socket);
+    let request = read(&mut stream)?;
+    let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs();
+    let (answer, checks, faults, now) = {
+        let mut authority = shared.authority();
+        let answer = if request.path == "/manage" && request.method == "POST" {
+            manage(&mut authority, &request.body)
+        } else {
+            authority.handle(wall, &request)
+        };
+        let now = wall.saturating_add_signed(authority.clock);
+        (answer, authority.checks(), authority.faults.clone(), now)
+    };
+    for check in checks {
+        let shared = Arc::clone(shared);
+        std::thread::spawn(move || {
+            let shown = look(&check, shared.http_port, shared.tls_port);
+            shared.authority().checked(&check, shown);
+        });
+    }
+    write(&mut stream, &answer, &faults, now, request.method == "HEAD")?;
+    stream.conn.send_close_notify();
+    stream.flush()
+}
+
+/// Tells the authority what to do wrong: a JSON object of [`Faults`], with `clock` and `lifetime` beside, in
+/// seconds. What is not named is as it should be.
+fn manage(authority: &mut Authority, body: &[u8]) -> Response {
+    #[derive(serde::Deserialize)]
+    #[serde(deny_unknown_fields)]
+    struct Told {
+        #[serde(default)]
+        faults: Faults,
+        clock: Option<i64>,
+        lifetime: Option<u64>,
+        window: Option<(u64, u64)>,
+        #[serde(default)]
+        forget_accounts: bool,
+    }
+    let told: Told = match serde_json::from_slice(body) {
+        Ok(told) => told,
+        Err(e) => return Response { status: 400, fields: vec![], body: format!("{e}\n").into_bytes() },
+    };
+    authority.faults = told.faults;
+    authority.clock = told.clock.unwrap_or(authority.clock);
+    authority.lifetime = told.lifetime.unwrap_or(authority.lifetime);
+    authority.window = told.window.or(authority.window);
+    if told.forget_accounts {
+        authority.forget_accounts();
+    }
+    Response { status: 200, fields: vec![], body: b"done\n".to_vec() }
+}
+
+fn read(stream: &mut impl Read) -> io::Result<Request> {
+    let (mut input, mut chunk) = (Vec::new(), [0; 4096]);
+    let bad = || io::Error::from(io::ErrorKind::InvalidData);
+    loop {
+        let n = stream.read(&mut chunk)?;
+        if n == 0 || input.len() + n > REQUEST_MOST {
+            return Err(bad());
+        }
+        input.extend_from_slice(&chunk[..n]);
+        let mut fields = [httparse::EMPTY_HEADER; 64];
+        let mut head = httparse::Request::new(&mut fields);
+        let httparse::Status::Complete(used) = head.parse(&input).map_err(|_| bad())? else { continue };
+        let field = |name: &str| {
+            let found = head.headers.iter().find(|f| f.name.eq_ignore_ascii_case(name));
+            found.map(|f| String::from_utf8_lossy(f.value).trim().to_string()).unwrap_or_default()
+        };
+        let length = field("content-length");
+        let length = if length.is_empty() { 0 } else { length.parse().map_err(|_| bad())? };
+        if input.len() - used >= length {
+            return Ok(Request {
+                method: head.method.unwrap_or("").into(),
+                path: head.path.unwrap_or("").into(),
+                content_type: field("content-type"),
+                body: input[used..used + length].to_vec(),
+            });
+        }
+    }
+}
+
+fn write(
+    stream: &mut impl Write,
+    answer: &Response,
+    faults: &Faults,
+    now: u64,
+    headless: bool,
+) -> io::Result<()> {
+    let date = httpdate::fmt_http_date(UNIX_EPOCH + Duration::from_secs(now));
+    let mut head = format!("HTTP/1.1 {} -\r\nDate: {date}\r\nConnection: close\r\n", answer.status);
+    for (name, value) in &answer.fields {
+        head += &format!("{name}: {value}\r\n");
+    }
+    if faults.endless {
+        stream.write_all(format!("{head}Transfer-Encoding: chunked\r\n\r\n").as_bytes())?;
+        let chunk = [b"1000\r\n".to_vec(), vec![b' '; 4096], b"\r\n".to_vec()].concat();
+        return (0..ENDLESS / 4096).try_for_each(|_| stream.write_all(&chunk));
+    }
+    head += &format!("Content-Length: {}\r\n\r\n", answer.body.len());
+    let mut bytes = head.into_bytes();
+    if !headless {
+        bytes.extend(&answer.body);
+    }
+    if faults.cut {
+        bytes.truncate(bytes.len() * 2 / 3);
+    }
+    if faults.slow_ms > 0 {
+        for byte in bytes {
+            stream.write_all(&[byte])?;
+            stream.flush()?;
+            std::thread::sleep(Duration::from_millis(faults.slow_ms));
+        }
+        return Ok(());
+    }
+    stream.write_all(&bytes)
+}
--- /dev/null
+++ b/standins/src/acme/validate.rs
@@ -0,0 +1,159 @@
+//! Looks at challenges on loopback (RFC 8555, section 8.3; RFC 8737, section 3).
+use super::authority::Check;
+use rustls::client::danger::{HandshakeSignatureValid, ServerCertVerified, ServerCertVerifier};
+use rustls::crypto::CryptoProvider;
+use rustls::pki_types::{CertificateDer, ServerName, UnixTime};
+use rustls::{ClientConfig, ClientConnection, DigitallySignedStruct, SignatureScheme, StreamOwned};
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use x509_parser::extensions::{GeneralName, ParsedExtension};
+use x509_parser::prelude::FromDer;
+
+/// A look ends after this long.
+const LOOK_MOST: Duration = Duration::from_secs(5);
+const BODY_MOST: usize = 8 * 1024;
+
+fn connect(port: u16) -> Result<TcpStream, String> {
+    let at = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+    let socket = TcpStream::connect_timeout(&at, LOOK_MOST).map_err(|e| format!("connect: {e}"))?;
+    socket.set_read_timeout(Some(LOOK_MOST)).map_err(|e| e.to_string())?;
+    socket.set_write_timeout(Some(LOOK_MOST)).map_err(|e| e.to_string())?;
+    Ok(socket)
+}
+
+/// Looks at a challenge.
+pub fn look(check: &Check, http_port: u16, tls_port: u16) -> Result<(), String> {
+    match check.kind {
+        "http-01" => http(check, http_port),
+        _ => tls_alpn(check, tls_port),
+    }
+}
+
+fn http(check: &Check, port: u16) -> Result<(), String> {
+    let mut socket = connect(port)?;
+    let request = format!(
+        "GET /.well-known/acme-challenge/{} HTTP/1.1\r\nHost: {}\r\nConnection: close\r\nAccept: */*\r\n\r\n",
+        check.token, check.name
+    );
+    socket.write_all(request.as_bytes()).map_err(|e| format!("write: {e}"))?;
+    let (mut answer, mut chunk) = (Vec::new(), [0; 1024]);
+    let deadline = Instant::now() + LOOK_MOST;
+    while answer.len() < BODY_MOST && Instant::now() < deadline {
+        match socket.read(&mut chunk).map_err(|e| format!("read: {e}"))? {
+            0 => break,
+            n => answer.extend_from_slice(&chunk[..n]),
+        }
+    }
+    let mut fields = [httparse::EMPTY_HEADER; 32];
+    let mut head = httparse::Response::new(&mut fields);
+    let used = match head.parse(&answer) {
+        Ok(httparse::Status::Complete(used)) if head.code == Some(200) => used,
+        Ok(_) => return Err(format!("status {:?}", head.code)),
+        Err(e) => return Err(format!("no answer: {e}")),
+    };
+    let shown = String::from_utf8_lossy(&answer[used..]).trim_end().to_string();
+    (shown == check.authorization).then_some(()).ok_or_else(|| "another key authorization is shown".into())
+}
+
+/// Takes any certificate: what it holds is looked at afterwards.
+#[derive(Debug)]
+struct Any(Arc<CryptoProvider>);
+
+impl Any {
+    /// Whether the certificate's key made the signature. Not by the library's own way, which knows nothing of the
+    /// critical extension.
+    fn verify(
+        &self,
+        message: &[u8],
+        cert: &CertificateDer<'_>,
+        dss: &DigitallySignedStruct,
+    ) -> Result<HandshakeSignatureValid, rustls::Error> {
+        let bad = || rustls::Error::InvalidCertificate(rustls::CertificateError::BadSignature);
+        let (_, cert) = x509_parser::certificate::X509Certificate::from_der(cert).map_err(|_| bad())?;
+        let key = cert.public_key().subject_public_key.data.as_ref();
+        let known = self.0.signature_verification_algorithms.mapping.iter().find(|(s, _)| *s == dss.scheme);
+        let made = known.is_some_and(|(_, all)| {
+            all.iter().any(|a| a.verify_signature(key, message, dss.signature()).is_ok())
+        });
+        made.then(HandshakeSignatureValid::assertion).ok_or_else(bad)
+    }
+}
+
+impl ServerCertVerifier for Any {
+    fn verify_server_cert(
+        &self,
+        _: &CertificateDer<'_>,
+        _: &[CertificateDer<'_>],
+        _: &ServerName<'_>,
+        _: &[u8],
+        _: UnixTime,
+    ) -> Result<ServerCertVerified, rustls::Error> {
+        Ok(ServerCertVerified::assertion())
+    }
+
+    fn verify_tls12_signature(
+        &self,
+        message: &[u8],
+        cert: &CertificateDer<'_>,
+        dss: &DigitallySignedStruct,
+    ) -> Result<HandshakeSignatureValid, rustls::Error> {
+        self.verify(message, cert, dss)
+    }
+
+    fn verify_tls13_signature(
+        &self,
+        message: &[u8],
+        cert: &CertificateDer<'_>,
+        dss: &DigitallySignedStruct,
+    ) -> Result<HandshakeSignatureValid, rustls::Error> {
+        self.verify(message, cert, dss)
+    }
+
+    fn supported_verify_schemes(&self) -> Vec<SignatureScheme> {
+        self.0.signature_verification_algorithms.supported_schemes()
+    }
+}
+
+fn tls_alpn(check: &Check, port: u16) -> Result<(), String> {
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let mut config = ClientConfig::builder_with_provider(Arc::clone(&provider))
+        .with_safe_default_protocol_versions()
+        .map_err(|e| e.to_string())?
+        .dangerous()
+        .with_custom_certificate_verifier(Arc::new(Any(provider)))
+        .with_no_client_auth();
+    config.alpn_protocols = vec![b"acme-tls/1".to_vec()];
+    let name = ServerName::try_from(check.name.clone()).map_err(|e| e.to_string())?;
+    let connection = ClientConnection::new(Arc::new(config), name).map_err(|e| e.to_string())?;
+    let mut stream = StreamOwned::new(connection, connect(port)?);
+    while stream.conn.is_handshaking() {
+        stream.conn.complete_io(&mut stream.sock).map_err(|e| format!("handshake: {e}"))?;
+    }
+    if stream.conn.alpn_protocol() != Some(b"acme-tls/1") {
+        return Err("acme-tls/1 was not chosen".into());
+    }
+    let leaf = stream.conn.peer_certificates().and_then(|c| c.first()).ok_or("no certificate")?;
+    let (_, cert) = x509_parser::certificate::X509Certificate::from_der(leaf)
+        .map_err(|_| "no certificate".to_string())?;
+    let (mut names, mut shown) = (Vec::new(), None);
+    for extension in cert.extensions() {
+        if extension.oid.to_id_string() == "1.3.6.1.5.5.7.1.31" {
+            shown = extension.critical.then(|| extension.value.to_vec());
+        }
+        if let ParsedExtension::SubjectAlternativeName(san) = extension.parsed_extension() {
+            names.extend(san.general_names.iter().map(|n| match n {
+                GeneralName::DNSName(name) => name.to_ascii_lowercase(),
+                _ => String::new(),
+            }));
+        }
+    }
+    if names != [check.name.clone()] {
+        return Err("the certificate does not name just the name".into());
+    }
+    let digest = ring::digest::digest(&ring::digest::SHA256, check.authorization.as_bytes());
+    // An octet string of 32 bytes (RFC 8737, section 3).
+    let wanted = [&[4, 32][..], digest.as_ref()].concat();
+    (shown == Some(wanted)).then_some(()).ok_or_else(|| "another key authorization is shown".into())
+}
