--- a/front/src/program/cli.rs
+++ b/front/src/program/cli.rs
@@ -1,14 +1,18 @@
 //! The command line.
-use super::config::Config;
+use super::config::{settings, Config};
+use super::ctl::{self, Ctl};
 use super::serve::Server;
 use bpaf::{construct, long, positional, OptionParser, Parser};
+use cranesill_daemon::Daemon;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 #[derive(Clone, Debug)]
 enum Command {
-    Serve(PathBuf),
-    Check(PathBuf),
+    Serve(PathBuf, Option<PathBuf>),
+    Check(Option<PathBuf>, Option<PathBuf>),
+    Schema,
+    Ctl(Ctl),
     Version,
 }
 
@@ -18,23 +22,76 @@
         let given = positional::<PathBuf>("FILE").help("The configuration");
         construct!([given, option])
     };
-    let serve = file().map(Command::Serve).to_options().descr("Serve clients until SIGTERM");
-    let check =
-        file().map(Command::Check).to_options().descr("Read a configuration and say what it asks for");
+    let own = || long("settings").help("The daemon's own settings").argument::<PathBuf>("FILE").optional();
+    let (settings, config) = (own(), file());
+    let serve = construct!(settings, config).map(|(settings, config)| Command::Serve(config, settings));
+    let serve = serve.to_options().descr("Serve clients until SIGTERM");
+    let (settings, config) = (own(), file().optional());
+    let check = construct!(settings, config).map(|(settings, config)| Command::Check(config, settings));
+    let check = check.to_options().descr("Read configuration and settings and say what is wrong with them");
+    let schema = bpaf::pure(Command::Schema).to_options().descr("Print the JSON Schema of the settings");
     let version = bpaf::pure(Command::Version).to_options().descr("Print the version");
     let serve = serve.command("serve");
     let check = check.command("check");
+    let schema = schema.command("schema");
     let version = version.command("version");
-    construct!([serve, check, version])
+    let ctl = ctl::ctl().map(Command::Ctl);
+    let certs = ctl::certs().map(Command::Ctl);
+    construct!([serve, check, schema, ctl, certs, version])
         .to_options()
         .descr("A front for caches that fill from parents and an origin")
 }
 
+fn serve(config: PathBuf, own: Option<PathBuf>) -> Result<(), Vec<String>> {
+    let config = Config::load(&config)?;
+    let daemon = own.as_deref().map_or(Ok(Daemon::default()), settings)?;
+    Server::new(config, daemon, own).and_then(Server::run).map_err(|e| vec![e])
+}
+
+/// Reads both files as far as they are named; all faults of both are told.
+fn check(config: Option<PathBuf>, own: Option<PathBuf>) -> Result<(), Vec<String>> {
+    if config.is_none() && own.is_none() {
+        return Err(vec!["neither a configuration nor settings are named".into()]);
+    }
+    let config = config.map(|file| Config::load(&file));
+    let own = own.map(|file| settings(&file));
+    let mut faults: Vec<String> = Vec::new();
+    match config {
+        Some(Ok(config)) => println!("{}", config.summary()),
+        Some(Err(found)) => faults.extend(found),
+        None => {}
+    }
+    match own {
+        Some(Ok(daemon)) => {
+            let on = [
+                ("control", daemon.control.is_some()),
+                ("tls", daemon.tls.is_some()),
+                ("certs", daemon.certs.is_some()),
+            ];
+            let on: Vec<_> = on.into_iter().filter(|(_, on)| *on).map(|(name, _)| name).collect();
+            println!("settings: {}", if on.is_empty() { "everything is off".into() } else { on.join(", ") });
+        }
+        Some(Err(found)) => faults.extend(found),
+        None => {}
+    }
+    if faults.is_empty() {
+        Ok(())
+    } else {
+        Err(faults)
+    }
+}
+
 /// Runs what the command line asks for.
 pub fn run() -> ExitCode {
     let done = match options().run() {
-        Command::Serve(file) => Config::load(&file).and_then(|config| Server::new(config)?.run()),
-        Command::Check(file) => Config::load(&file).map(|config| println!("{}", config.summary())),
+        Command::Serve(config, own) => serve(config, own),
+        Command::Check(config, own) => check(config, own),
+        Command::Schema => {
+            // A value of JSON can always be written as text.
+            println!("{}", serde_json::to_string_pretty(&cranesill_daemon::schema()).unwrap_or_default());
+            Ok(())
+        }
+        Command::Ctl(ctl) => return ctl::run(ctl),
         Command::Version => {
             println!("cranesill {}", env!("CARGO_PKG_VERSION"));
             Ok(())
@@ -42,8 +99,8 @@
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("cranesill: {error}");
+        Err(faults) => {
+            faults.iter().for_each(|fault| eprintln!("cranesill: {fault}"));
             ExitCode::FAILURE
         }
     }
--- a/front/src/program/clients.rs
+++ b/front/src/program/clients.rs
@@ -1,8 +1,9 @@
 //! Connections of clients.
 use crate::protocol::client::{self, Message};
 use crate::routing::{Answer, Ask, ReplyTo};
-use crate::transport::{Reactor, Stream};
+use crate::transport::{Reactor, Registered, Stream};
 use cranesill::api::{Span, Time};
+use rustls::ServerConnection;
 use std::collections::{HashMap, HashSet};
 use std::io;
 use std::net::TcpStream;
@@ -63,8 +64,6 @@
     pub leaving: bool,
     held: usize,
     lost: Vec<Heard>,
-    /// Lines for the log.
-    pub notes: Vec<String>,
     scratch: Vec<u8>,
 }
 
@@ -97,12 +96,28 @@
     /// Takes over a connection that was accepted.
     pub fn add(&mut self, now: Time, reactor: &Reactor, socket: TcpStream, key: usize) -> io::Result<()> {
         let stream = Stream::new(reactor, socket, key, false)?;
+        self.begin(now, stream, key);
+        Ok(())
+    }
+
+    /// Takes over a connection whose TLS handshake is complete.
+    pub fn secured(
+        &mut self,
+        now: Time,
+        socket: Registered<TcpStream>,
+        connection: ServerConnection,
+        key: usize,
+    ) {
+        self.begin(now, Stream::secured(socket, connection), key);
+        self.flush(now, key);
+    }
+
+    fn begin(&mut self, now: Time, stream: Stream<()>, key: usize) {
         let (open, closing, owes) = (HashSet::new(), false, Some(now));
         self.all.insert(key, Client { stream, open, closing, moved: now, owes, rests: 0, ends: None });
         if self.leaving {
             self.say_no_more(now, key);
         }
-        Ok(())
     }
 
     /// Tells all clients that no new requests are wanted.
@@ -202,7 +217,7 @@
         let stale: Vec<_> = self.all.iter().filter(|(_, c)| stale(c)).map(|(key, _)| *key).collect();
         let stalled = stale.iter().filter(|key| !self.all[key].stream.flushed()).count();
         if stalled > 0 {
-            self.notes.push(format!("{stalled} clients given up that take nothing"));
+            tracing::info!(clients = stalled, "clients given up that take nothing");
         }
         let mut gone: Vec<_> = stale.into_iter().flat_map(|key| self.drop(key)).collect();
         while self.held > held_most {
--- a/front/src/program/config.rs
+++ b/front/src/program/config.rs
@@ -2,6 +2,7 @@
 use crate::protocol::feed::News;
 use crate::protocol::known;
 use crate::routing::Room;
+use cranesill_daemon::Daemon;
 use cranesill_settings::Deployment;
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -28,14 +29,15 @@
 }
 
 impl Config {
-    /// Reads the file. The error is one line that says what is wrong.
-    pub fn load(file: &Path) -> Result<Self, String> {
-        let text = std::fs::read(file).map_err(|e| format!("{}: {e}", file.display()))?;
-        let value = serde_json::from_slice(&text).map_err(|e| format!("{}: {e}", file.display()))?;
-        Self::read(file, &value).map_err(|e| format!("{}: {e}", file.display()))
+    /// Reads the file. The errors are all that can be found, a line each.
+    pub fn load(file: &Path) -> Result<Self, Vec<String>> {
+        let at = |e: &dyn std::fmt::Display| format!("{}: {e}", file.display());
+        let text = std::fs::read(file).map_err(|e| vec![at(&e)])?;
+        let value = serde_json::from_slice(&text).map_err(|e| vec![at(&e)])?;
+        Self::read(file, &value).map_err(|faults| faults.iter().map(|e| at(e)).collect())
     }
 
-    fn read(file: &Path, v: &Value) -> Result<Self, String> {
+    fn read(file: &Path, v: &Value) -> Result<Self, Vec<String>> {
         let address = |key: &str| {
             let text = v[key].as_str().ok_or_else(|| format!("{key}: missing"))?;
             text.parse::<SocketAddr>().map_err(|_| format!("{key}: no address: {text}"))
@@ -44,19 +46,26 @@
             let told = v["limits"][key].as_f64().ok_or_else(|| format!("limits.{key}: missing"))? as u64;
             Some(told).filter(|n| *n >= least).ok_or_else(|| format!("limits.{key}: under {least}"))
         };
-        let seed = v["seed"].as_str().ok_or("seed: missing")?;
-        let deployment = cranesill_settings::read(&v["settings"])?;
-        Ok(Config {
-            file: file.to_path_buf(),
-            name: v["name"].as_str().unwrap_or("front").to_string(),
-            listen: address("listen")?,
-            seed: u64::from_str_radix(seed, 16).map_err(|_| format!("seed: not hex: {seed}"))?,
-            feed: address("feed")?,
-            sockets: limit("sockets", SOCKETS_LEAST)? as usize,
-            memory: limit("memory_mb", MEMORY_LEAST)? as usize * (1 << 20),
-            known: known::read(&v["known"], &deployment.names)?,
-            deployment,
-        })
+        let seed = || {
+            let text = v["seed"].as_str().ok_or("seed: missing")?;
+            u64::from_str_radix(text, 16).map_err(|_| format!("seed: not hex: {text}"))
+        };
+        let mut faults = Vec::new();
+        let listen = kept(address("listen"), &mut faults);
+        let seed = kept(seed(), &mut faults);
+        let feed = kept(address("feed"), &mut faults);
+        let sockets = kept(limit("sockets", SOCKETS_LEAST), &mut faults);
+        let memory = kept(limit("memory_mb", MEMORY_LEAST), &mut faults);
+        let deployment = kept(cranesill_settings::read(&v["settings"]), &mut faults);
+        let known = deployment.as_ref().and_then(|d| kept(known::read(&v["known"], &d.names), &mut faults));
+        let all = listen.zip(seed).zip(feed).zip(sockets).zip(memory).zip(deployment).zip(known);
+        let Some(((((((listen, seed), feed), sockets), memory), deployment), known)) = all else {
+            return Err(faults);
+        };
+        let name = v["name"].as_str().unwrap_or("front").to_string();
+        let (sockets, memory) = (sockets as usize, memory as usize * (1 << 20));
+        let file = file.to_path_buf();
+        Ok(Config { file, name, listen, seed, feed, sockets, memory, known, deployment })
     }
 
     /// Connections of clients held at once.
@@ -93,3 +102,20 @@
         )
     }
 }
+
+/// What could be read; what could not is put to the faults.
+fn kept<T>(found: Result<T, impl Into<String>>, faults: &mut Vec<String>) -> Option<T> {
+    found.map_err(|e| faults.push(e.into())).ok()
+}
+
+/// Reads the daemon's own settings. The errors are all that can be found, a line each.
+pub fn settings(file: &Path) -> Result<Daemon, Vec<String>> {
+    let at = |e: &dyn std::fmt::Display| format!("{}: {e}", file.display());
+    let text = std::fs::read(file).map_err(|e| vec![at(&e)])?;
+    let daemon =
+        cranesill_daemon::read(&text).map_err(|faults| faults.iter().map(|f| at(f)).collect::<Vec<_>>())?;
+    match daemon.certs.as_ref().map(super::certs::check) {
+        Some(Err(why)) => Err(vec![at(&format!("$.{why}"))]),
+        _ => Ok(daemon),
+    }
+}
--- a/front/src/program/members.rs
+++ b/front/src/program/members.rs
@@ -99,8 +99,6 @@
     /// Nothing is read: too much is held already.
     paused: bool,
     scratch: Vec<u8>,
-    /// Lines for the log.
-    pub notes: Vec<String>,
 }
 
 impl Members {
@@ -117,7 +115,6 @@
             held: 0,
             paused: false,
             scratch: vec![0; READ_MOST],
-            notes: Vec::new(),
         }
     }
 
@@ -324,9 +321,8 @@
         let Some(mut link) = self.links.remove(&key) else { return };
         link.stream.discount(&mut self.held);
         if !link.open.is_empty() {
-            let (name, all) = (member::name_of(link.member), link.open.len());
-            let state = if link.up { "broke" } else { "failed" };
-            self.notes.push(format!("connection to {name} {state}, {why}, with {all} attempts"));
+            let (member, attempts) = (member::name_of(link.member), link.open.len());
+            tracing::info!(member, up = link.up, error = why, attempts, "connection lost");
         }
         self.of.get_mut(&link.member).into_iter().for_each(|keys| keys.retain(|k| *k != key));
         let mut open: Vec<_> = link.open.into_values().collect();
--- a/front/src/program/serve.rs
+++ b/front/src/program/serve.rs
@@ -1,16 +1,24 @@
 //! The loop.
+use super::certs::Certs;
 use super::clients::{Clients, Heard};
 use super::config::Config;
+use super::control::Control;
+use super::driver::{slot_of, Driver, Effect, Turn};
 use super::feed::Feed;
 use super::log::Log;
 use super::members::{Ends, Members};
+use super::tls::Tls;
 use crate::protocol::feed::{Listing, News};
 use crate::routing::{Answer, AttemptId, Command, End, Front, Wake};
 use crate::transport::{listen, Clock, Deadlines, Reactor, Registered};
 use cranesill::api::{Entry, MemberId, Span, Time};
+use cranesill_daemon::{changes, Daemon, Level};
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
 use std::io;
 use std::net::TcpListener;
 use std::os::unix::net::UnixStream;
+use std::path::PathBuf;
 
 const LISTENER: usize = 0;
 const TERM: usize = 1;
@@ -53,11 +61,27 @@
     log: Log,
     last_key: usize,
     leaving: Option<Time>,
+    /// The daemon's own settings, and where they were read from.
+    daemon: Daemon,
+    daemon_file: Option<PathBuf>,
+    /// Subsystems that the settings switch on, each with the last key that it gave out.
+    drivers: Vec<(Box<dyn Driver>, usize)>,
+    effects: Vec<Effect>,
+    began: Time,
 }
 
+/// Words for operators that the front itself takes.
+const WORDS: [(&str, &str); 3] = [
+    ("status", "how the front stands"),
+    ("log", "{level}: change the log's level until the next reload"),
+    ("reload", "read configuration and settings again, as SIGHUP does"),
+];
+
 impl Server {
     /// Listens, and takes over what the configuration says of the members.
-    pub fn new(mut config: Config) -> Result<Self, String> {
+    /// Subsystems are those of `daemon`, which came from `daemon_file`.
+    pub fn new(mut config: Config, daemon: Daemon, daemon_file: Option<PathBuf>) -> Result<Self, String> {
+        let log = Log::install(&daemon.log);
         let failed = |what: &'static str| move |e: io::Error| format!("{what}: {e}");
         let clock = Clock::new();
         let reactor = Reactor::new().map_err(failed("poller"))?;
@@ -73,9 +97,14 @@
             feed: Feed::new(config.feed, last),
             clients: Clients::new(),
             deadlines: Deadlines::new(),
-            log: Log::default(),
+            log,
             last_key: KEYS,
             leaving: None,
+            daemon,
+            daemon_file,
+            drivers: Vec::new(),
+            effects: Vec::new(),
+            began: clock.now(),
             config,
             clock,
             reactor,
@@ -85,13 +114,115 @@
         };
         let now = server.clock.now();
         let at = server.listener.local_addr().map_err(failed("listener"))?;
-        server.log.line(now, &format!("{} listens on {at}", server.config.name));
+        tracing::info!(name = server.config.name, %at, "listening");
+        server.drivers(now)?;
         known.into_iter().for_each(|news| server.news(now, news));
         server.deadlines.add(now, Due::Feed);
         server.deadlines.add(now + SWEEP, Due::Sweep);
         Ok(server)
     }
 
+    /// Starts the subsystems that the settings name. The control socket is the last: it knows the others' words.
+    fn drivers(&mut self, now: Time) -> Result<(), String> {
+        let (daemon, name) = (self.daemon.clone(), self.config.name.clone());
+        if let Some(tls) = daemon.tls {
+            self.start(now, |turn| Ok(Box::new(Tls::new(turn, tls)?)))?;
+        }
+        if let Some(certs) = daemon.certs {
+            self.start(now, |turn| Ok(Box::new(Certs::new(turn, &certs, &name)?)))?;
+        }
+        if let Some(control) = daemon.control {
+            let words = self.drivers.iter().flat_map(|(driver, _)| driver.words());
+            let help: BTreeMap<_, _> = words.chain(WORDS).collect();
+            self.start(now, |turn| Ok(Box::new(Control::new(turn, &control.path, help)?)))?;
+        }
+        self.effects(now);
+        Ok(())
+    }
+
+    fn start(
+        &mut self,
+        now: Time,
+        make: impl FnOnce(&mut Turn<'_>) -> Result<Box<dyn Driver>, String>,
+    ) -> Result<(), String> {
+        let mut last = 0;
+        let slot = (self.drivers.len() + 1, &mut last);
+        let mut turn = Turn { now, reactor: &self.reactor, effects: &mut self.effects, slot };
+        let driver = make(&mut turn)?;
+        self.drivers.push((driver, last));
+        Ok(())
+    }
+
+    /// Gives a driver its turn.
+    fn drive(&mut self, now: Time, slot: usize, act: impl FnOnce(&mut dyn Driver, &mut Turn<'_>)) {
+        if let Some((driver, last)) = slot.checked_sub(1).and_then(|i| self.drivers.get_mut(i)) {
+            let (reactor, effects) = (&self.reactor, &mut self.effects);
+            act(driver.as_mut(), &mut Turn { now, reactor, effects, slot: (slot, last) });
+        }
+    }
+
+    /// Carries out what drivers brought about for others.
+    fn effects(&mut self, now: Time) {
+        while !self.effects.is_empty() {
+            for effect in std::mem::take(&mut self.effects) {
+                match effect {
+                    Effect::Client(socket, connection) => self.secured(now, socket, *connection),
+                    Effect::Word(number, word, args) if WORDS.iter().any(|(w, _)| *w == word) => {
+                        let answer = self.word(now, &word, &args);
+                        self.effects.push(Effect::Answer(number, answer));
+                    }
+                    effect => {
+                        for slot in 1..=self.drivers.len() {
+                            self.drive(now, slot, |driver, turn| driver.told(turn, &effect));
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    /// A client whose handshake is complete; it may have said something with it already.
+    fn secured(
+        &mut self,
+        now: Time,
+        mut socket: Registered<std::net::TcpStream>,
+        connection: rustls::ServerConnection,
+    ) {
+        if self.clients.len() >= self.config.clients_most() && !self.clients.evict() {
+            return;
+        }
+        let key = self.key();
+        match socket.rekey(key) {
+            Ok(()) => self.clients.secured(now, socket, connection, key),
+            Err(error) => return tracing::warn!(%error, "client lost"),
+        }
+        let heard = self.clients.read(now, key);
+        self.hear(now, heard);
+    }
+
+    /// Answers an operator.
+    fn word(&mut self, now: Time, word: &str, args: &Value) -> Result<Value, String> {
+        match word {
+            "log" => {
+                let level: Level =
+                    serde_json::from_value(args["level"].clone()).map_err(|e| format!("level: {e}"))?;
+                self.log.set(&cranesill_daemon::Log { level, ..self.daemon.log.clone() });
+                Ok(json!(format!("level is {level:?}").to_lowercase()))
+            }
+            "reload" => {
+                self.reload(now);
+                Ok("read again; the log tells what was taken over".into())
+            }
+            _ => Ok(json!({
+                "name": self.config.name, "version": env!("CARGO_PKG_VERSION"),
+                "up_s": (now - self.began) / 1_000_000, "leaving": self.leaving.is_some(),
+                "open_requests": self.front.open(), "clients": self.clients.len(),
+                "clients_most": self.config.clients_most(), "held_bytes": self.clients.held() + self.members.held(),
+                "held_bytes_most": self.config.held_most(), "settings": self.daemon_file,
+            })),
+        }
+    }
+
     /// Serves until it has left.
     pub fn run(mut self) -> Result<(), String> {
         while !self.turn()? {}
@@ -100,18 +231,28 @@
 
     /// Waits for something to do and does it. Whether the front has left.
     fn turn(&mut self) -> Result<bool, String> {
-        let next = self.deadlines.next();
+        let drivers = self.drivers.iter().filter_map(|(driver, _)| driver.next()).min();
+        let next = self.deadlines.next().into_iter().chain(drivers).min();
         let mut events = self.reactor.wait(self.clock.now(), next).map_err(|e| format!("poller: {e}"))?;
         let now = self.clock.now();
         // What the feed tells is heeded before anything is sent in the same turn; new connections come last, since
         // room for them is made by closing those of which nothing was read yet.
-        events.sort_by_key(|(key, ..)| (*key == LISTENER, !self.feed.is(*key)));
+        // Open connections come before subsystems.
+        events.sort_by_key(|(key, ..)| (*key == LISTENER, slot_of(*key), !self.feed.is(*key)));
         for (key, readable, writable) in events {
             self.event(now, key, readable, writable);
         }
         while let Some(due) = self.deadlines.take(now) {
             self.due(now, due);
         }
+        for slot in 1..=self.drivers.len() {
+            self.drive(now, slot, |driver, turn| {
+                if driver.next().is_some_and(|at| at <= turn.now) {
+                    driver.due(turn);
+                }
+            });
+        }
+        self.effects(now);
         self.members.pause(now, self.clients.held() > self.config.room().bytes);
         let since = self.leaving.filter(|since| now >= since + LEAVE_WINDOW);
         let done = self.front.open() == 0 && self.clients.flushed();
@@ -127,7 +268,14 @@
         match key {
             LISTENER => self.accept(now),
             TERM => self.leave(now),
-            HANGUP => self.reload(now),
+            HANGUP => {
+                drain(&self.hangup);
+                self.reload(now);
+            }
+            _ if slot_of(key) > 0 => {
+                self.drive(now, slot_of(key), |driver, turn| driver.ready(turn, key, readable, writable));
+                self.effects(now);
+            }
             _ if self.feed.is(key) => {
                 self.feed.ready(now).into_iter().for_each(|news| self.news(now, news));
                 self.deadlines.add(self.feed.due, Due::Feed);
@@ -162,13 +310,16 @@
             Due::Feed => {}
             Due::Sweep => {
                 let gone = self.clients.sweep(now, self.config.room().bytes, self.config.held_most());
-                std::mem::take(&mut self.clients.notes).iter().for_each(|line| self.log.line(now, line));
+                self.log.sweep();
                 self.hear(now, gone);
                 self.members.sweep(now, &mut ends);
                 self.listen(true);
                 self.deadlines.add(now + SWEEP, Due::Sweep);
             }
-            Due::Leave => self.front.close(),
+            Due::Leave => {
+                self.front.close();
+                self.drivers.iter_mut().for_each(|(driver, _)| driver.leave());
+            }
         }
         self.settle(now, ends);
     }
@@ -187,15 +338,15 @@
                         continue;
                     }
                     let key = self.key();
-                    if let Err(e) = self.clients.add(now, &self.reactor, socket, key) {
-                        self.log.line(now, &format!("client lost: {e}"));
+                    if let Err(error) = self.clients.add(now, &self.reactor, socket, key) {
+                        tracing::warn!(%error, "client lost");
                     }
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
                 Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
-                Err(e) => {
+                Err(error) => {
                     // Out of descriptors: the poller would report it again at once, so it rests till the sweep.
-                    self.log.line(now, &format!("accept: {e}"));
+                    tracing::warn!(%error, "accept");
                     if !self.clients.evict() {
                         self.listen(false);
                     }
@@ -209,7 +360,7 @@
     fn leave(&mut self, now: Time) {
         drain(&self.term);
         if self.leaving.is_none() {
-            self.log.line(now, "SIGTERM: leaving");
+            tracing::info!("SIGTERM: leaving");
             self.leaving = Some(now);
             self.clients.leave(now);
             self.deadlines.add(now + LEAVE_WINDOW, Due::Leave);
@@ -217,17 +368,58 @@
         }
     }
 
-    /// SIGHUP: the configuration is read again. One that can't be used changes nothing; of a good one only the
-    /// feed's address is taken over, and open requests notice nothing.
+    /// SIGHUP: configuration and settings are read again. A file that can't be used changes nothing; of a good
+    /// configuration only the feed's address is taken over, and open requests notice nothing. Of the settings all
+    /// that can change in service is.
     fn reload(&mut self, now: Time) {
-        drain(&self.hangup);
         match Config::load(&self.config.file) {
             Ok(new) => {
-                self.log.line(now, &format!("SIGHUP: the feed is at {}", new.feed));
+                tracing::info!(feed = %new.feed, "SIGHUP: configuration read");
                 self.feed.move_to(now, new.feed);
                 self.deadlines.add(now, Due::Feed);
             }
-            Err(e) => self.log.line(now, &format!("SIGHUP: the configuration stays as it was: {e}")),
+            Err(faults) => tracing::warn!(error = faults.join("; "), "the configuration stays as it was"),
+        }
+        let Some(file) = &self.daemon_file else { return };
+        let new = match super::config::settings(file) {
+            Ok(new) => new,
+            Err(faults) => {
+                return tracing::warn!(error = faults.join("; "), "the settings stay as they were");
+            }
+        };
+        let changes = changes(&self.daemon, &new);
+        self.log.set(&new.log);
+        for slot in 1..=self.drivers.len() {
+            self.drive(now, slot, |driver, turn| driver.reload(turn, &new));
+        }
+        self.effects(now);
+        if !changes.restart.is_empty() {
+            tracing::warn!(paths = changes.restart.join(" "), "settings that need a restart");
+        }
+        tracing::info!(paths = changes.taken.join(" "), "settings taken over");
+        // What needs a restart is compared with what runs.
+        let (old, restart) = (std::mem::replace(&mut self.daemon, new), changes.restart);
+        if !restart.is_empty() {
+            self.daemon.control = old.control;
+            self.daemon.tls = self
+                .daemon
+                .tls
+                .take()
+                .zip(old.tls.clone())
+                .map(|(new, old)| cranesill_daemon::Tls { listen: old.listen, ..new })
+                .or(old.tls);
+            self.daemon.certs = self
+                .daemon
+                .certs
+                .take()
+                .zip(old.certs.clone())
+                .map(|(new, old)| cranesill_daemon::Certs {
+                    directory: old.directory,
+                    authority: old.authority,
+                    http_listen: old.http_listen,
+                    ..new
+                })
+                .or(old.certs);
         }
     }
 
@@ -237,7 +429,7 @@
             match one {
                 Heard::Ask(from, ask) => self.front.take_in(now, from, ask),
                 Heard::Bad(from, why) => {
-                    self.log.line(now, &format!("bad request: {why}"));
+                    tracing::info!(error = why, "bad request");
                     self.clients.answer(now, from, Answer::Failed);
                 }
                 Heard::Gone(from) => self.front.gone(now, from),
@@ -275,7 +467,6 @@
                     self.front.gone(now, from);
                 }
             }
-            std::mem::take(&mut self.members.notes).iter().for_each(|line| self.log.line(now, line));
             let Some(command) = self.front.command() else { break };
             match command {
                 Command::Send(attempt, to, fetch) => {
@@ -294,7 +485,7 @@
                 }
                 Command::Answer(to, answer) => self.clients.answer(now, to, answer),
                 Command::Wake(at, wake) => self.deadlines.add(at, Due::Wake(wake)),
-                Command::Log(line) => self.log.line(now, &line),
+                Command::Log(text) => tracing::info!(kind = "decision", text, "decision"),
             }
         }
     }
--- /dev/null
+++ b/front/src/program/tls.rs
@@ -0,0 +1,520 @@
+//! The TLS listener: handshakes on the loop, bounded in number, in time and in their share of the core, behind
+//! everything that open connections want. A connection whose handshake is complete is a client's like any other.
+use super::driver::{Driver, Effect, Turn};
+use crate::transport::{listen, Registered};
+use cranesill::api::{Span, Time};
+use cranesill_budget::{CoreTime, Places};
+use cranesill_certs::{Identity, Wall};
+use cranesill_daemon::{Daemon, Expired, Tls as Settings};
+use rustls::crypto::CryptoProvider;
+use rustls::server::{Acceptor, NoServerSessionStorage, ProducesTickets, ResolvesServerCert};
+use rustls::sign::CertifiedKey;
+use rustls::{ServerConfig, ServerConnection};
+use serde_json::json;
+use std::collections::{BTreeMap, HashMap};
+use std::io::{self, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+/// The binary protocol (our own name).
+pub const BINARY: &[u8] = b"cranesill/1";
+/// RFC 8737, section 6.2.
+const ACME: &[u8] = b"acme-tls/1";
+/// Core time that handshakes get in one turn before open connections are looked at again.
+const SLICE: Span = 2_000;
+/// Connections accepted in one turn.
+const ACCEPTS_MOST: usize = 16;
+/// A place is kept for this long before it may be displaced: those that come in a flood wait in the system's queue.
+const KEPT_LEAST: Span = 250_000;
+/// Bytes that a client may send before its handshake is complete.
+const HELLO_MOST: usize = 64 * 1024;
+/// Pause between two notes of handshakes that failed.
+const NOTE_EACH: Span = 1_000_000;
+
+/// Alerts that are sent before there are keys (RFC 8446, section 6; RFC 6066, section 3; RFC 7301, section 3.2).
+const CERTIFICATE_EXPIRED: u8 = 45;
+const INTERNAL_ERROR: u8 = 80;
+const UNRECOGNIZED_NAME: u8 = 112;
+const NO_APPLICATION_PROTOCOL: u8 = 120;
+
+/// A certificate and what handshakes with it are made by.
+#[derive(Clone)]
+pub struct Served {
+    config: Arc<ServerConfig>,
+    not_after: Wall,
+}
+
+/// Which certificate stands for which name.
+#[derive(Default)]
+pub struct Table {
+    names: HashMap<String, Served>,
+    /// For clients that name none.
+    default: Option<Served>,
+}
+
+/// What shows control of a name (RFC 8737, section 3).
+pub struct Proof(Arc<ServerConfig>);
+
+#[derive(Debug)]
+struct One(Arc<CertifiedKey>);
+
+impl ResolvesServerCert for One {
+    fn resolve(&self, _: rustls::server::ClientHello<'_>) -> Option<Arc<CertifiedKey>> {
+        Some(Arc::clone(&self.0))
+    }
+}
+
+fn config(
+    key: &Arc<CertifiedKey>,
+    protocol: &[u8],
+    tickets: Option<Arc<dyn ProducesTickets>>,
+) -> Result<Arc<ServerConfig>, String> {
+    let provider: Arc<CryptoProvider> = Arc::new(rustls::crypto::ring::default_provider());
+    let mut config = ServerConfig::builder_with_provider(provider)
+        .with_safe_default_protocol_versions()
+        .map_err(|e| e.to_string())?
+        .with_no_client_auth()
+        .with_cert_resolver(Arc::new(One(Arc::clone(key))));
+    config.alpn_protocols = vec![protocol.to_vec()];
+    // Resumption by tickets alone: nothing is kept here for clients that are not connected.
+    config.session_storage = Arc::new(NoServerSessionStorage {});
+    if let Some(tickets) = tickets {
+        config.ticketer = tickets;
+    }
+    config.send_tls13_tickets = 1;
+    Ok(Arc::new(config))
+}
+
+impl Proof {
+    /// From a certificate made for a challenge.
+    pub fn new(key: &Arc<CertifiedKey>) -> Result<Proof, String> {
+        config(key, ACME, None).map(Proof)
+    }
+}
+
+/// A certificate's identities, in order, with the tickets that are good for them.
+struct Group {
+    served: Vec<(Identity, Served)>,
+    tickets: Arc<dyn ProducesTickets>,
+}
+
+/// Makes tables out of what is served for each certificate. Tickets outlive a renewal, since what they vouch for
+/// still holds, and end with a key that must not be trusted any more.
+#[derive(Default)]
+pub struct Tables {
+    groups: BTreeMap<String, Group>,
+}
+
+impl Tables {
+    /// Takes over what is served for a certificate.
+    pub fn set(&mut self, id: &str, all: &[Identity], fresh_tickets: bool) -> Result<(), String> {
+        if all.is_empty() {
+            self.groups.remove(id);
+            return Ok(());
+        }
+        let old = self.groups.get(id).filter(|_| !fresh_tickets).map(|g| Arc::clone(&g.tickets));
+        let tickets = match old {
+            Some(tickets) => tickets,
+            None => rustls::crypto::ring::Ticketer::new().map_err(|e| e.to_string())?,
+        };
+        let served = all.iter().map(|identity| {
+            let config = config(&identity.certified, BINARY, Some(Arc::clone(&tickets)))?;
+            Ok((identity.clone(), Served { config, not_after: identity.not_after }))
+        });
+        let served = served.collect::<Result<_, String>>()?;
+        self.groups.insert(id.into(), Group { served, tickets });
+        Ok(())
+    }
+
+    /// The table as it is now; the first name of the first certificate is the one for clients that name none.
+    pub fn table(&self, first: Option<&str>) -> Arc<Table> {
+        let mut table = Table::default();
+        for group in self.groups.values() {
+            // The first that covers a name stands for it: the later ones go in before it.
+            for (identity, served) in group.served.iter().rev() {
+                for name in &identity.names {
+                    table.names.insert(name.clone(), served.clone());
+                }
+            }
+        }
+        let group = first.and_then(|id| self.groups.get(id)).or_else(|| self.groups.values().next());
+        table.default = group.and_then(|g| g.served.first()).map(|(_, served)| served.clone());
+        Arc::new(table)
+    }
+}
+
+impl Table {
+    fn find(&self, name: Option<&str>) -> Option<&Served> {
+        let Some(name) = name else { return self.default.as_ref() };
+        let name = name.to_ascii_lowercase();
+        let wild = || name.split_once('.').and_then(|(_, rest)| self.names.get(&format!("*.{rest}")));
+        self.names.get(&name).or_else(wild)
+    }
+}
+
+enum Phase {
+    Hello(Box<Acceptor>),
+    Shake(Box<ServerConnection>),
+}
+
+struct Handshake {
+    socket: Registered<TcpStream>,
+    phase: Phase,
+    read: usize,
+}
+
+/// What became of a step.
+enum Step {
+    /// More has to come.
+    Wait,
+    Done,
+    /// It is over; the word is for the counts.
+    Over(&'static str),
+}
+
+#[derive(Default)]
+struct Counts {
+    accepted: u64,
+    complete: u64,
+    resumed: u64,
+    displaced: u64,
+    late: u64,
+    failed: BTreeMap<&'static str, u64>,
+    core_us: u64,
+}
+
+/// The listener.
+pub struct Tls {
+    listener: Registered<TcpListener>,
+    listener_key: usize,
+    at: SocketAddr,
+    /// Whether the listener is watched.
+    accepting: bool,
+    settings: Settings,
+    table: Arc<Table>,
+    proofs: HashMap<String, Arc<Proof>>,
+    places: Places,
+    budget: CoreTime,
+    /// When each place was taken, oldest first; some have gone.
+    taken: std::collections::VecDeque<(Time, usize)>,
+    all: HashMap<usize, Handshake>,
+    counts: Counts,
+    /// Failures since the last note.
+    untold: BTreeMap<&'static str, u64>,
+    note_at: Time,
+    leaving: bool,
+}
+
+impl Tls {
+    /// Listens.
+    pub fn new(turn: &mut Turn<'_>, settings: Settings) -> Result<Self, String> {
+        let failed = |e: &dyn std::fmt::Display| format!("tls.listen: {}: {e}", settings.listen);
+        let at: SocketAddr = settings.listen.parse().map_err(|e: std::net::AddrParseError| failed(&e))?;
+        let listener_key = turn.key();
+        let listener = listen(at).map_err(|e| failed(&e))?;
+        let at = listener.local_addr().map_err(|e| failed(&e))?;
+        let listener = turn.reactor.watch(listener, listener_key, false).map_err(|e| failed(&e))?;
+        tracing::info!(%at, "TLS listening");
+        let span = settings.handshake_ms * 1_000;
+        Ok(Tls {
+            listener,
+            listener_key,
+            at,
+            accepting: true,
+            places: Places::new(settings.handshakes_most, span),
+            budget: CoreTime::new(turn.now, settings.core_percent),
+            settings,
+            table: Arc::default(),
+            proofs: HashMap::new(),
+            taken: Default::default(),
+            all: HashMap::new(),
+            counts: Counts::default(),
+            untold: BTreeMap::new(),
+            note_at: 0,
+            leaving: false,
+        })
+    }
+
+    /// When a connection may be accepted.
+    fn room(&mut self, now: Time) -> Result<(), Time> {
+        while self.taken.front().is_some_and(|(_, key)| !self.all.contains_key(key)) {
+            self.taken.pop_front();
+        }
+        let free = self.places.len() < self.settings.handshakes_most;
+        match self.taken.front() {
+            Some((since, _)) if !free && now < since + KEPT_LEAST => Err(since + KEPT_LEAST),
+            _ => Ok(()),
+        }
+    }
+
+    fn accept(&mut self, turn: &mut Turn<'_>) {
+        for _ in 0..ACCEPTS_MOST {
+            if self.room(turn.now).is_err() || self.places.any_waiting() && !self.budget.may(turn.now) {
+                // The rest waits in the system's queue.
+                return self.watch(false);
+            }
+            let socket = match self.listener.accept() {
+                Ok((socket, _)) => socket,
+                Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => continue,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(e) => {
+                    tracing::warn!(error = %e, "TLS accept");
+                    return self.watch(false);
+                }
+            };
+            let key = turn.key();
+            let ready = socket.set_nonblocking(true).and_then(|()| socket.set_nodelay(true));
+            let Ok(socket) = ready.and_then(|()| turn.reactor.watch(socket, key, false)) else { continue };
+            self.counts.accepted += 1;
+            let (_, displaced) = self.places.take(turn.now, key);
+            for old in displaced {
+                self.counts.displaced += 1;
+                self.all.remove(&old);
+            }
+            self.taken.push_back((turn.now, key));
+            let phase = Phase::Hello(Box::default());
+            self.all.insert(key, Handshake { socket, phase, read: 0 });
+        }
+    }
+
+    fn watch(&mut self, accepting: bool) {
+        if self.accepting != accepting {
+            self.accepting = accepting;
+            // The listener is watched for as long as the program runs: this can't fail.
+            let _ = self.listener.rewatch(accepting, false);
+        }
+    }
+
+    /// Lets handshakes go on that something came for, as far as their share of the core goes.
+    fn work(&mut self, turn: &mut Turn<'_>) {
+        let mut spent = 0;
+        while spent < SLICE && self.budget.may(turn.now) {
+            let Some(key) = self.places.turn() else { break };
+            let begun = Instant::now();
+            let step = self.step(key);
+            let took = begun.elapsed().as_micros() as Span;
+            self.budget.took(took.max(1));
+            self.counts.core_us += took;
+            spent += took.max(1);
+            match step {
+                Step::Wait => {
+                    if let Some(handshake) = self.all.get(&key) {
+                        let writes = match &handshake.phase {
+                            Phase::Hello(_) => false,
+                            Phase::Shake(connection) => connection.wants_write(),
+                        };
+                        // It can only fail for a socket that is not watched.
+                        let _ = handshake.socket.rewatch(true, writes);
+                    }
+                }
+                Step::Done => self.done(turn, key),
+                Step::Over(why) => {
+                    self.places.leave(key);
+                    self.all.remove(&key);
+                    *self.counts.failed.entry(why).or_default() += 1;
+                    *self.untold.entry(why).or_default() += 1;
+                }
+            }
+        }
+    }
+
+    fn done(&mut self, turn: &mut Turn<'_>, key: usize) {
+        self.places.leave(key);
+        if let Some(Handshake { socket, phase: Phase::Shake(connection), .. }) = self.all.remove(&key) {
+            self.counts.complete += 1;
+            self.counts.resumed +=
+                u64::from(connection.handshake_kind() == Some(rustls::HandshakeKind::Resumed));
+            // What answered a challenge has nothing more to say.
+            if connection.alpn_protocol() == Some(BINARY) {
+                turn.effects.push(Effect::Client(socket, connection));
+            }
+        }
+    }
+
+    fn step(&mut self, key: usize) -> Step {
+        let Some(handshake) = self.all.get_mut(&key) else { return Step::Wait };
+        let mut socket: &TcpStream = &handshake.socket;
+        loop {
+            let read = match &mut handshake.phase {
+                Phase::Hello(acceptor) => acceptor.read_tls(&mut socket),
+                Phase::Shake(connection) => connection.read_tls(&mut socket),
+            };
+            let blocked = match read {
+                Ok(0) => return Step::Over("closed"),
+                Ok(n) => {
+                    handshake.read += n;
+                    false
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => true,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
+                Err(_) => return Step::Over("broken"),
+            };
+            if handshake.read > HELLO_MOST {
+                return Step::Over("too-long");
+            }
+            match &mut handshake.phase {
+                Phase::Hello(acceptor) => match acceptor.accept() {
+                    Ok(None) if blocked => return Step::Wait,
+                    Ok(None) => {}
+                    Ok(Some(accepted)) => {
+                        match choose(&accepted, &self.table, &self.proofs, self.settings.expired) {
+                            Ok(config) => match accepted.into_connection(config) {
+                                Ok(connection) => handshake.phase = Phase::Shake(Box::new(connection)),
+                                Err((_, mut alert)) => {
+                                    let _ = alert.write(&mut socket);
+                                    return Step::Over("no-agreement");
+                                }
+                            },
+                            Err((alert, why)) => {
+                                // A record of one fatal alert (RFC 8446, section 5.1); best effort.
+                                let _ = socket.write(&[21, 3, 3, 0, 2, 2, alert]);
+                                return Step::Over(why);
+                            }
+                        }
+                    }
+                    Err((_, mut alert)) => {
+                        let _ = alert.write(&mut socket);
+                        return Step::Over("garbage");
+                    }
+                },
+                Phase::Shake(connection) => {
+                    let state = connection.process_new_packets();
+                    while connection.wants_write() {
+                        match connection.write_tls(&mut socket) {
+                            Ok(n) if n > 0 => {}
+                            Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                            _ => return Step::Over("broken"),
+                        }
+                    }
+                    if state.is_err() {
+                        return Step::Over("refused");
+                    }
+                    if !connection.is_handshaking() {
+                        return Step::Done;
+                    }
+                    if blocked {
+                        return Step::Wait;
+                    }
+                }
+            }
+        }
+    }
+
+    fn note(&mut self, now: Time) {
+        if now < self.note_at || self.untold.is_empty() {
+            return;
+        }
+        let kinds: Vec<_> = self.untold.iter().map(|(why, n)| format!("{why}:{n}")).collect();
+        tracing::info!(kinds = kinds.join(","), "handshakes failed");
+        self.untold.clear();
+        self.note_at = now + NOTE_EACH;
+    }
+}
+
+/// What a handshake is made with, or the alert that ends it and a word for the counts.
+fn choose(
+    accepted: &rustls::server::Accepted,
+    table: &Table,
+    proofs: &HashMap<String, Arc<Proof>>,
+    expired: Expired,
+) -> Result<Arc<ServerConfig>, (u8, &'static str)> {
+    let hello = accepted.client_hello();
+    let name = hello.server_name();
+    let offers = |wanted: &[u8]| hello.alpn().is_some_and(|mut all| all.any(|p| p == wanted));
+    if offers(ACME) {
+        let proof = name.and_then(|n| proofs.get(&n.to_ascii_lowercase()));
+        return proof.map(|p| Arc::clone(&p.0)).ok_or((UNRECOGNIZED_NAME, "no-challenge"));
+    }
+    if !offers(BINARY) {
+        return Err((NO_APPLICATION_PROTOCOL, "no-protocol"));
+    }
+    let served = match table.find(name) {
+        Some(served) => served,
+        None if table.default.is_none() => return Err((INTERNAL_ERROR, "no-certificate")),
+        None => return Err((UNRECOGNIZED_NAME, "unknown-name")),
+    };
+    let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs();
+    if wall > served.not_after && expired == Expired::Refuse {
+        return Err((CERTIFICATE_EXPIRED, "expired"));
+    }
+    Ok(Arc::clone(&served.config))
+}
+
+impl Driver for Tls {
+    fn ready(&mut self, turn: &mut Turn<'_>, key: usize, _: bool, _: bool) {
+        if key == self.listener_key {
+            return self.accept(turn);
+        }
+        self.places.wants(key);
+        if let Some(handshake) = self.all.get(&key) {
+            // It waits for its turn: the poller would tell of it without end. It can't fail for a watched socket.
+            let _ = handshake.socket.rewatch(false, false);
+        }
+    }
+
+    fn due(&mut self, turn: &mut Turn<'_>) {
+        for key in self.places.overdue(turn.now) {
+            self.counts.late += 1;
+            *self.untold.entry("late").or_default() += 1;
+            self.all.remove(&key);
+        }
+        self.work(turn);
+        if !self.accepting && !self.leaving && self.room(turn.now).is_ok() && self.budget.may(turn.now) {
+            self.watch(true);
+        }
+        self.note(turn.now);
+    }
+
+    fn next(&self) -> Option<Time> {
+        let work = self.places.any_waiting().then(|| self.budget.next());
+        let accept = match self.taken.front() {
+            _ if self.accepting || self.leaving => None,
+            Some((since, key))
+                if self.all.contains_key(key) && self.places.len() >= self.settings.handshakes_most =>
+            {
+                Some(since + KEPT_LEAST)
+            }
+            _ => Some(self.budget.next()),
+        };
+        let note = (!self.untold.is_empty()).then_some(self.note_at);
+        [self.places.next(), work, accept, note].into_iter().flatten().min()
+    }
+
+    fn told(&mut self, turn: &mut Turn<'_>, effect: &Effect) {
+        match effect {
+            Effect::Certificates(table) => self.table = Arc::clone(table),
+            Effect::Prove(name, Some(proof)) => drop(self.proofs.insert(name.clone(), Arc::clone(proof))),
+            Effect::Prove(name, None) => drop(self.proofs.remove(name)),
+            Effect::Word(number, word, _) if word == "tls" => {
+                let counts = &self.counts;
+                let state = json!({
+                    "at": self.at.to_string(), "accepting": self.accepting, "under_way": self.all.len(),
+                    "names": self.table.names.len(), "accepted": counts.accepted,
+                    "complete": counts.complete, "resumed": counts.resumed, "displaced": counts.displaced,
+                    "late": counts.late, "failed": counts.failed, "core_us": counts.core_us,
+                });
+                turn.effects.push(Effect::Answer(*number, Ok(state)));
+            }
+            _ => {}
+        }
+    }
+
+    fn words(&self) -> Vec<(&'static str, &'static str)> {
+        vec![("tls", "the TLS listener: handshakes under way, complete, failed by cause")]
+    }
+
+    fn reload(&mut self, turn: &mut Turn<'_>, settings: &Daemon) {
+        if let Some(new) = &settings.tls {
+            let listen = std::mem::take(&mut self.settings.listen);
+            self.settings = Settings { listen, ..new.clone() };
+            self.places.set(new.handshakes_most, new.handshake_ms * 1_000);
+            self.budget.set(turn.now, new.core_percent);
+        }
+    }
+
+    fn leave(&mut self) {
+        self.leaving = true;
+        self.watch(false);
+    }
+}
--- a/front/src/transport/mod.rs
+++ b/front/src/transport/mod.rs
@@ -3,8 +3,10 @@
 mod deadlines;
 mod reactor;
 mod stream;
+mod workers;
 
 pub use clock::Clock;
 pub use deadlines::Deadlines;
 pub use reactor::{Reactor, Registered};
 pub use stream::{dial, listen, Outgoing, Stream};
+pub use workers::Workers;
--- a/front/src/transport/reactor.rs
+++ b/front/src/transport/reactor.rs
@@ -56,6 +56,14 @@
     }
 }
 
+impl<S: AsFd> Registered<S> {
+    /// Is watched under another key from now on, for reading.
+    pub fn rekey(&mut self, key: usize) -> io::Result<()> {
+        self.key = key;
+        self.rewatch(true, false)
+    }
+}
+
 impl<S: AsFd> Drop for Registered<S> {
     fn drop(&mut self) {
         // It can only fail for a source that is not watched.
--- a/front/src/transport/stream.rs
+++ b/front/src/transport/stream.rs
@@ -1,5 +1,6 @@
 //! A connection with its buffers.
 use super::{Reactor, Registered};
+use rustls::ServerConnection;
 use socket2::{Domain, Protocol, Socket, Type};
 use std::collections::VecDeque;
 use std::io::{self, IoSlice, Read, Write};
@@ -49,6 +50,15 @@
     /// What a sum over connections counts for this one.
     counted: usize,
     watched: (bool, bool),
+    tls: Option<Box<Tls>>,
+}
+
+/// What lies between the bytes of a stream and its socket.
+#[derive(Debug)]
+struct Tls {
+    connection: ServerConnection,
+    /// Bytes of output handed over and, as far as can be told, not written to the socket yet.
+    sealed: usize,
 }
 
 impl<T> Stream<T> {
@@ -57,8 +67,19 @@
         socket.set_nonblocking(true)?;
         socket.set_nodelay(true)?;
         let socket = reactor.watch(socket, key, connecting)?;
-        let (input, output, watched) = (Vec::new(), VecDeque::new(), (true, connecting));
-        Ok(Stream { socket, input, consumed: 0, output, written: 0, output_len: 0, counted: 0, watched })
+        let mut stream = Self::on(socket, None);
+        stream.watched = (true, connecting);
+        Ok(stream)
+    }
+
+    /// A connection whose TLS handshake is complete; it is watched for reading.
+    pub fn secured(socket: Registered<TcpStream>, connection: ServerConnection) -> Self {
+        Self::on(socket, Some(Box::new(Tls { connection, sealed: 0 })))
+    }
+
+    fn on(socket: Registered<TcpStream>, tls: Option<Box<Tls>>) -> Self {
+        let (input, output, watched) = (Vec::new(), VecDeque::new(), (true, false));
+        Stream { socket, input, consumed: 0, output, written: 0, output_len: 0, counted: 0, watched, tls }
     }
 
     /// Whether a connection that was being made is up; an error if it can't be.
@@ -76,6 +97,10 @@
     /// Reads once by way of `scratch`, which is shared: a connection holds no more than what is not dealt with.
     /// `None`: there is nothing now; 0: the other side has ended it.
     pub fn fill(&mut self, scratch: &mut [u8]) -> io::Result<Option<usize>> {
+        if let Some(tls) = &mut self.tls {
+            self.input.drain(..std::mem::take(&mut self.consumed));
+            return tls.fill(&self.socket, scratch, &mut self.input);
+        }
         match self.socket.read(scratch) {
             Ok(n) => {
                 self.input.drain(..std::mem::take(&mut self.consumed));
@@ -105,7 +130,7 @@
 
     /// Bytes that this connection holds: input not dealt with and output not written.
     pub fn held(&self) -> usize {
-        self.input.len() - self.consumed + self.output_len
+        self.input.len() - self.consumed + self.output_len + self.tls.as_ref().map_or(0, |tls| tls.sealed)
     }
 
     /// Brings a sum over connections up to date with what this one holds.
@@ -126,7 +151,7 @@
 
     /// Whether nothing is left to be written.
     pub fn flushed(&self) -> bool {
-        self.output.is_empty()
+        self.output.is_empty() && self.tls.as_ref().is_none_or(|tls| !tls.connection.wants_write())
     }
 
     /// Adds something to be written.
@@ -146,7 +171,7 @@
 
     /// Writes what can be written; `done` gets the tag of each that is whole.
     pub fn flush(&mut self, mut done: impl FnMut(T)) -> io::Result<()> {
-        while !self.output.is_empty() {
+        while !self.flushed() {
             let mut skip = self.written;
             let mut slices = Vec::with_capacity(SLICES_MOST);
             for part in self.output.iter().flat_map(Outgoing::parts).take(SLICES_MOST) {
@@ -156,7 +181,14 @@
                     slices.push(IoSlice::new(&part[begun..]));
                 }
             }
-            match self.socket.write_vectored(&slices) {
+            let written = match &mut self.tls {
+                Some(tls) => tls.write(&self.socket, &slices),
+                None => self.socket.write_vectored(&slices),
+            };
+            match written {
+                Ok(0) if self.tls.is_some() && self.output.is_empty() => break,
+                // The library was full and has room again.
+                Ok(0) if self.tls.is_some() => continue,
                 Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
                 Ok(n) => self.written += n,
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
@@ -174,7 +206,7 @@
 
     /// Watches the socket for reading as told, and for writing while something is left to be written.
     pub fn rewatch(&mut self, read: bool) -> io::Result<()> {
-        let wanted = (read, !self.output.is_empty());
+        let wanted = (read, !self.flushed());
         if wanted != self.watched {
             self.socket.rewatch(wanted.0, wanted.1)?;
             self.watched = wanted;
@@ -183,12 +215,90 @@
     }
 
     /// Tells the other side that nothing more will be written.
-    pub fn finish(&self) {
+    pub fn finish(&mut self) {
+        if let Some(tls) = &mut self.tls {
+            tls.connection.send_close_notify();
+            // What does not fit now is the system's word that nobody reads it.
+            let _ = tls.connection.write_tls(&mut &*self.socket);
+        }
         // A connection that is gone already needs no farewell.
         let _ = self.socket.shutdown(std::net::Shutdown::Write);
     }
 }
 
+impl Tls {
+    /// Reads once, and takes all that could be opened with that: nothing may stay behind of which the poller does
+    /// not know. What one read opens is bounded by the library.
+    fn fill(
+        &mut self,
+        mut socket: &TcpStream,
+        scratch: &mut [u8],
+        input: &mut Vec<u8>,
+    ) -> io::Result<Option<usize>> {
+        let before = input.len();
+        let mut ended = self.open(scratch, input)?;
+        if input.len() == before && !ended {
+            match self.connection.read_tls(&mut socket) {
+                Ok(0) => return Ok(Some(0)),
+                Ok(_) => {}
+                Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => {
+                    return Ok(None)
+                }
+                Err(e) => return Err(e),
+            }
+            if let Err(e) = self.connection.process_new_packets() {
+                // The alert that tells why; best effort.
+                let _ = self.connection.write_tls(&mut socket);
+                return Err(io::Error::new(io::ErrorKind::InvalidData, e));
+            }
+            ended = self.open(scratch, input)?;
+        }
+        let got = input.len() - before;
+        Ok(if got > 0 || ended { Some(got) } else { None })
+    }
+
+    /// Moves what is opened to the input. `true`: the other side said that nothing more comes.
+    fn open(&mut self, scratch: &mut [u8], input: &mut Vec<u8>) -> io::Result<bool> {
+        loop {
+            match self.connection.reader().read(scratch) {
+                Ok(0) => return Ok(true),
+                Ok(n) => input.extend_from_slice(&scratch[..n]),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(false),
+                Err(e) => return Err(e),
+            }
+        }
+    }
+
+    /// Seals as much as the library takes and writes what the socket takes. An error of kind `WouldBlock`: neither
+    /// took anything.
+    fn write(&mut self, mut socket: &TcpStream, slices: &[IoSlice<'_>]) -> io::Result<usize> {
+        let taken = if slices.is_empty() { 0 } else { self.connection.writer().write_vectored(slices)? };
+        self.sealed += taken;
+        let mut wrote = 0;
+        while self.connection.wants_write() {
+            match self.connection.write_tls(&mut socket) {
+                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+                Ok(n) => {
+                    wrote += n;
+                    self.sealed = self.sealed.saturating_sub(n);
+                }
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    return if taken > 0 { Ok(taken) } else { Err(e) };
+                }
+                Err(e) => return Err(e),
+            }
+        }
+        self.sealed = 0;
+        let full = taken == 0 && wrote == 0 && !slices.is_empty();
+        if full {
+            Err(io::ErrorKind::WouldBlock.into())
+        } else {
+            Ok(taken)
+        }
+    }
+}
+
 /// Begins to make a connection; it is up once the socket can be written.
 pub fn dial(to: SocketAddr) -> io::Result<TcpStream> {
     let socket = Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP))?;
--- a/front/tests/common/mod.rs
+++ b/front/tests/common/mod.rs
@@ -1,4 +1,5 @@
 //! A front as a process of its own, and the peers that a story scripts: blocking sockets on loopback.
+#![allow(dead_code)]
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -41,6 +42,11 @@
 impl Stage {
     /// Two caches and an origin: what a cache lacks comes from the origin.
     pub fn new(change: impl Fn(&mut Value)) -> Self {
+        Self::with(change, None)
+    }
+
+    /// The same, with settings of the daemon's own.
+    pub fn with(change: impl Fn(&mut Value), settings: Option<&std::path::Path>) -> Self {
         let (caches, origin, feed) = ([bound(), bound()], bound(), bound());
         let mut config: Value = serde_json::from_str(include_str!("../../examples/config.json")).unwrap();
         config["listen"] = "127.0.0.1:0".into();
@@ -53,10 +59,10 @@
             member(0x31, &origin, "east-hub", "origin")
         ]);
         change(&mut config);
-        let (mut front, lines) = start(&config);
+        let (mut front, lines) = start_with(&config, settings);
         let file = lines.to_path_buf();
         let log = follow(&mut front, lines);
-        let address = until(&log, "listens on").rsplit(' ').next().unwrap().parse().unwrap();
+        let address = field(&until(&log, "listening"), "at").parse().unwrap();
         Stage { caches, origin, feed, config, front, address, file, log }
     }
 
@@ -88,10 +94,17 @@
 
 /// Starts `cranesill serve` with a configuration.
 pub fn start(config: &Value) -> (Child, tempfile::TempPath) {
+    start_with(config, None)
+}
+
+fn start_with(config: &Value, settings: Option<&std::path::Path>) -> (Child, tempfile::TempPath) {
     let mut file = tempfile::NamedTempFile::new().unwrap();
     file.write_all(config.to_string().as_bytes()).unwrap();
     let mut command = Command::new(env!("CARGO_BIN_EXE_cranesill"));
     command.arg("serve").env("RELAY_CONFIG", file.path()).stderr(Stdio::piped());
+    if let Some(file) = settings {
+        command.arg("--settings").arg(file);
+    }
     (command.spawn().unwrap(), file.into_temp_path())
 }
 
@@ -116,6 +129,12 @@
     }
 }
 
+/// A field of a line of the log.
+pub fn field(line: &str, name: &str) -> String {
+    let (_, rest) = line.split_once(&format!(" {name}=")).unwrap_or_else(|| panic!("no {name} in {line}"));
+    rest.split(' ').next().unwrap_or(rest).to_string()
+}
+
 /// A client's connection.
 pub struct Client(pub TcpStream);
 
