--- /dev/null
+++ b/purges/src/contact.rs
@@ -0,0 +1,80 @@
+//! The contact lease: a front that has not heard of the ledger for a while can't know what was purged.
+use crate::{Ms, Span, Time};
+
+/// What a front does without contact.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Without {
+    /// The floor follows the clock, a lease behind it: what the ledger took longer ago than that holds, known or
+    /// not. A floor that stayed at the last contact would let a copy pass that came after it and was purged later.
+    Strict,
+    /// It goes on, and counts what stood under the doubt.
+    Available,
+}
+
+/// When the ledger was heard of last.
+#[derive(Clone, Debug)]
+pub struct Contact {
+    lease: Span,
+    without: Without,
+    /// On the monotonic clock, and by the wall.
+    heard: (Time, Ms),
+    lost: bool,
+    /// Answers that stood under the doubt.
+    pub doubtful: u64,
+}
+
+impl Contact {
+    /// Contact was had `now`; it is lost `lease` microseconds later.
+    pub fn new(now: Time, wall: Ms, lease: Span, without: Without) -> Self {
+        Contact { lease, without, heard: (now, wall), lost: false, doubtful: 0 }
+    }
+
+    /// The ledger was heard of. `true`: contact was lost until now.
+    pub fn heard(&mut self, now: Time, wall: Ms) -> bool {
+        self.heard = (now.max(self.heard.0), wall);
+        std::mem::take(&mut self.lost)
+    }
+
+    /// When contact counts as lost if nothing is heard.
+    pub fn due(&self) -> Time {
+        self.heard.0 + self.lease
+    }
+
+    /// Whether contact was lost just now: to be said once.
+    pub fn lost_now(&mut self, now: Time) -> bool {
+        let lost = now >= self.due();
+        lost && !std::mem::replace(&mut self.lost, lost)
+    }
+
+    /// The floor that the loss of contact brings, in milliseconds of `wall`; 0: none.
+    pub fn floor(&mut self, now: Time, wall: Ms) -> Ms {
+        if now < self.due() {
+            return 0;
+        }
+        match self.without {
+            Without::Strict => wall.saturating_sub(self.lease / 1_000).max(self.heard.1),
+            Without::Available => {
+                self.doubtful += 1;
+                0
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_loss_is_said_once_raises_the_floor_or_is_counted_and_ends_with_the_next_word() {
+        let mut strict = Contact::new(0, 1_000, 500, Without::Strict);
+        assert_eq!((strict.floor(499, 1_000), strict.lost_now(499)), (0, false));
+        assert_eq!((strict.floor(500, 1_000), strict.lost_now(500), strict.lost_now(501)), (1_000, true, false));
+        assert_eq!(strict.floor(9_000_000, 10_000), 10_000, "it follows the clock");
+        assert!(strict.heard(600, 2_000));
+        assert!(!strict.heard(601, 2_001));
+        assert_eq!((strict.floor(700, 2_002), strict.due()), (0, 1_101));
+        let mut open = Contact::new(0, 1_000, 500, Without::Available);
+        assert_eq!((open.floor(900, 1), open.floor(901, 1), open.doubtful), (0, 0, 2));
+    }
+}
--- /dev/null
+++ b/purges/src/lib.rs
@@ -0,0 +1,71 @@
+//! Purges over a fleet: numbered in one ledger, matched against requests, carried to boxes in order.
+//!
+//! All of it is without input, output and clock. Moments of purges and copies are Unix milliseconds ([`Ms`]), as the
+//! members' `born` is; what waits goes by a monotonic clock in microseconds ([`Time`]).
+//!
+//! - [`ledger`]: numbers, repeats, followers, compaction.
+//! - [`journal`]: the ledger in one file, with checksums.
+//! - [`matching`]: which purge concerns a request. What is unknown counts as matched.
+//! - [`boxes`]: which box has confirmed what, and what it is sent next.
+//! - [`contact`]: what a front may still say that has not heard of the ledger for a while.
+//! - [`shield`]: how much may go past the caches while floors are high.
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
+
+pub mod boxes;
+pub mod contact;
+pub mod journal;
+pub mod ledger;
+pub mod matching;
+pub mod shield;
+
+/// Unix milliseconds.
+pub type Ms = u64;
+/// A moment on a clock that never goes back, in microseconds.
+pub type Time = u64;
+/// A span in microseconds.
+pub type Span = u64;
+/// The number of a purge: 1 up, without gaps. 0: before the first.
+pub type Number = u64;
+
+/// Letters of a tag, a pattern, a command's id, and of who and why, at most.
+pub const TAG_MOST: usize = 64;
+/// Letters of a pattern.
+pub const PATTERN_MOST: usize = 200;
+/// Letters of a command's id, and of who and why.
+pub const WORDS_MOST: usize = 200;
+
+/// What a purge names.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum What {
+    /// One object, whatever the part.
+    Object(u64),
+    /// All objects of a group.
+    Group(u32),
+    /// All objects that carry a tag.
+    Tag(Box<str>),
+    /// All keys that a glob matches. A key is `CLASS/ITEM/PART`, the item as 16 hex digits in lower case.
+    Pattern(Box<str>),
+}
+
+/// A purge.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Purge {
+    /// Its place in the order.
+    pub number: Number,
+    /// No copy from before this moment may answer.
+    pub at: Ms,
+    /// What it names.
+    pub what: What,
+    /// The command's id: the same one again is the same purge.
+    pub id: Box<str>,
+    /// Who asked.
+    pub who: Box<str>,
+    /// Why.
+    pub why: Box<str>,
+}
+
+/// The key of a request as patterns see it.
+pub fn key(class: &str, object: u64, part: u32) -> String {
+    format!("{class}/{object:016x}/{part}")
+}
