Purge by operators: a durable ledger, floors at each attempt, old answers refused

Operators purge by object, group, tag and pattern; the ledger outlives a restart; no answer from an older copy is passed on, whatever a member says.

- routing/floors.rs: the floor is asked when an attempt is sent, since purges come while requests wait, and again when its answer comes, by the tags that the answer names itself.
- A file that is damaged, or none, counts as a purge of everything; what is torn was told to nobody.

--- a/Makefile
+++ b/Makefile
@@ -32,3 +32,7 @@
 
 measure-planner:
 	cargo test --release --locked -p cranesill-certs --test planner -- --nocapture
+
+.PHONY: measure-purges
+measure-purges:
+	cargo run --release --locked -p cranesill-purges --example measure-purges
--- a/daemon/src/types.rs
+++ b/daemon/src/types.rs
@@ -21,6 +21,36 @@
     #[serde(skip_serializing_if = "Option::is_none")]
     #[schemars(with = "Certs")]
     pub certs: Option<Certs>,
+    /// Purges by operators; absent: none but the platform's own.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    #[schemars(with = "Purges")]
+    pub purges: Option<Purges>,
+}
+
+/// Purges by operators.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Purges {
+    /// The file that holds the ledger; absent: it is kept in memory, and each start takes everything for purged that
+    /// members may hold.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    #[schemars(with = "PathBuf")]
+    pub file: Option<PathBuf>,
+    /// No member holds a copy that is older than this.
+    #[schemars(range(min = 1, max = 2_592_000))]
+    pub horizon_s: u64,
+    /// By so much the clocks of those who date copies may be ahead.
+    #[schemars(range(min = 0, max = 60_000))]
+    pub skew_ms: u64,
+    /// Memory for the tags of objects.
+    #[schemars(range(min = 4_096, max = 1_073_741_824))]
+    pub index_bytes: usize,
+}
+
+impl Default for Purges {
+    fn default() -> Self {
+        Purges { file: None, horizon_s: 86_400, skew_ms: 1_000, index_bytes: 1 << 20 }
+    }
 }
 
 /// The log.
--- a/front/src/program/cli.rs
+++ b/front/src/program/cli.rs
@@ -37,7 +37,9 @@
     let version = version.command("version");
     let ctl = ctl::ctl().map(Command::Ctl);
     let certs = ctl::certs().map(Command::Ctl);
-    construct!([serve, check, schema, ctl, certs, version])
+    let purge = ctl::purge().map(Command::Ctl);
+    let purges = ctl::purges().map(Command::Ctl);
+    construct!([serve, check, schema, ctl, certs, purge, purges, version])
         .to_options()
         .descr("A front for caches that fill from parents and an origin")
 }
@@ -71,6 +73,7 @@
                 ("control", daemon.control.is_some()),
                 ("tls", daemon.tls.is_some()),
                 ("certs", daemon.certs.is_some()),
+                ("purges", daemon.purges.is_some()),
             ];
             let on: Vec<_> = on.into_iter().filter(|(_, on)| *on).map(|(name, _)| name).collect();
             println!("settings: {}", if on.is_empty() { "everything is off".into() } else { on.join(", ") });
--- a/front/src/program/ctl.rs
+++ b/front/src/program/ctl.rs
@@ -34,6 +34,14 @@
     Revoke(String, Option<u8>),
     Import(PathBuf, PathBuf),
     RollKey,
+    Purge {
+        what: (&'static str, String),
+        id: Option<String>,
+        why: Option<String>,
+        all: bool,
+        dry: bool,
+    },
+    Purges(Option<u64>),
 }
 
 /// What an operator asks for.
@@ -90,6 +98,35 @@
     construct!(Ctl { at, json, verb }).to_options().descr("Certificates of a running daemon").command("certs")
 }
 
+/// `cranesill purge`.
+pub fn purge() -> impl Parser<Ctl> {
+    let of = |name: &'static str, help: &'static str| {
+        long(name).help(help).argument::<String>("WHAT").map(move |value| (name, value))
+    };
+    let object = of("object", "An object: 16 hex digits");
+    let group = of("group", "A group: 0 to 255");
+    let tag = of("tag", "All objects that carry a tag");
+    let pattern = of("pattern", "All keys CLASS/ITEM/PART that a glob matches");
+    let what = construct!([object, group, tag, pattern]);
+    let id = long("id").help("The same id again is the same purge").argument::<String>("ID").optional();
+    let why = long("why").help("For whoever looks later").argument::<String>("TEXT").optional();
+    let all = long("all").help("A pattern that matches everything is meant to").switch();
+    let dry = long("dry-run").help("Tell how many known objects match").switch();
+    let (at, json) = (at(), json_out());
+    let verb = construct!(Verb::Purge { what, id, why, all, dry });
+    construct!(Ctl { at, json, verb }).to_options().descr("Purge copies").command("purge")
+}
+
+/// `cranesill purges`.
+pub fn purges() -> impl Parser<Ctl> {
+    let list = bpaf::pure(Verb::Purges(None)).to_options().descr("The ledger, latest first").command("list");
+    let number = positional::<u64>("N").map(|n| Verb::Purges(Some(n)));
+    let show = number.to_options().descr("One purge").command("show");
+    let verb = construct!([list, show]);
+    let (at, json) = (at(), json_out());
+    construct!(Ctl { at, json, verb }).to_options().descr("Purges of a running daemon").command("purges")
+}
+
 impl At {
     fn path(&self) -> Result<PathBuf, String> {
         match (&self.socket, &self.settings) {
@@ -223,6 +260,26 @@
         Verb::Revoke(name, reason) => ask("certs-revoke", json!({"name": name, "reason": reason}))?,
         Verb::Import(key, chain) => ask("certs-import", json!({"key": read(key)?, "chain": read(chain)?}))?,
         Verb::RollKey => ask("certs-roll-key", Value::Null)?,
+        Verb::Purge { what: (name, value), dry: true, .. } => ask("purge-dry", json!({*name: value}))?,
+        Verb::Purge { what: (name, value), id, why, all, .. } => {
+            let who = std::env::var("USER").unwrap_or_else(|_| "operator".into());
+            // An id of its own for a command that names none: it can't be repeated by chance.
+            let made = || {
+                let now =
+                    std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+                format!("{}-{}", now.as_nanos(), std::process::id())
+            };
+            let id = id.clone().unwrap_or_else(made);
+            ask("purge", json!({*name: value, "id": id, "who": who, "why": why, "all": all}))?
+        }
+        Verb::Purges(number) => {
+            let answer = ask("purges", json!({"number": number}))?;
+            if number.is_some() && answer["purges"].as_array().is_none_or(Vec::is_empty) {
+                eprintln!("cranesill: no such purge, or it is over");
+                return Ok(3);
+            }
+            answer
+        }
     };
     match answer.as_str().filter(|_| !ctl.json) {
         Some(text) => println!("{text}"),
--- a/front/src/program/driver.rs
+++ b/front/src/program/driver.rs
@@ -21,6 +21,16 @@
     Certificates(Arc<Table>),
     /// Control of a name is shown in handshakes, or no longer.
     Prove(String, Option<Arc<Proof>>),
+    /// Purges are on from now on; everything may have been purged up to a moment in Unix milliseconds.
+    Floors(cranesill_daemon::Purges, Option<u64>),
+    /// Purges that count from now on.
+    Purged(Vec<cranesill_purges::Purge>),
+    /// Purges from before this moment, in Unix milliseconds, are over.
+    Horizon(u64),
+    /// Patterns to be put together, and those that were.
+    Compile(Vec<(Box<str>, cranesill_purges::matching::Mark)>),
+    /// Patterns that were put together.
+    Compiled(Box<Result<cranesill_purges::matching::Set, String>>),
     /// A word of an operator, with a number for its answer.
     Word(u64, String, Value),
     /// The answer to an operator.
--- a/front/src/program/mod.rs
+++ b/front/src/program/mod.rs
@@ -9,6 +9,7 @@
 mod feed;
 mod log;
 mod members;
+mod purges;
 mod serve;
 mod tls;
 
--- a/front/src/program/serve.rs
+++ b/front/src/program/serve.rs
@@ -7,9 +7,10 @@
 use super::feed::Feed;
 use super::log::Log;
 use super::members::{Ends, Members};
+use super::purges::Purges;
 use super::tls::Tls;
 use crate::protocol::feed::{Listing, News};
-use crate::routing::{Answer, AttemptId, Command, End, Front, Wake};
+use crate::routing::{Answer, AttemptId, Command, End, Floors, Front, Wake};
 use crate::transport::{listen, Clock, Deadlines, Reactor, Registered};
 use cranesill::api::{Entry, MemberId, Span, Time};
 use cranesill_daemon::{changes, Daemon, Level};
@@ -71,7 +72,8 @@
 }
 
 /// Words for operators that the front itself takes.
-const WORDS: [(&str, &str); 3] = [
+const WORDS: [(&str, &str); 4] = [
+    ("purge-dry", "{object | group | tag | pattern}: how many known objects match"),
     ("status", "how the front stands"),
     ("log", "{level}: change the log's level until the next reload"),
     ("reload", "read configuration and settings again, as SIGHUP does"),
@@ -131,6 +133,9 @@
         if let Some(certs) = daemon.certs {
             self.start(now, |turn| Ok(Box::new(Certs::new(turn, &certs, &name)?)))?;
         }
+        if let Some(purges) = daemon.purges {
+            self.start(now, |turn| Ok(Box::new(Purges::new(turn, &purges)?)))?;
+        }
         if let Some(control) = daemon.control {
             let words = self.drivers.iter().flat_map(|(driver, _)| driver.words());
             let help: BTreeMap<_, _> = words.chain(WORDS).collect();
@@ -167,6 +172,26 @@
             for effect in std::mem::take(&mut self.effects) {
                 match effect {
                     Effect::Client(socket, connection) => self.secured(now, socket, *connection),
+                    Effect::Floors(settings, all) => {
+                        let mut floors = Floors::new(settings.index_bytes, settings.skew_ms);
+                        all.into_iter().for_each(|at| floors.add_all(at));
+                        self.front.floors = Some(floors);
+                    }
+                    Effect::Purged(purges) => {
+                        if let Some(floors) = &mut self.front.floors {
+                            purges.iter().for_each(|purge| floors.add(purge));
+                            self.effects.extend(floors.job().map(Effect::Compile));
+                        }
+                    }
+                    Effect::Horizon(horizon) => {
+                        self.front.floors.iter_mut().for_each(|floors| floors.expire(horizon));
+                    }
+                    Effect::Compiled(set) => {
+                        if let Some(floors) = &mut self.front.floors {
+                            floors.install(*set);
+                            self.effects.extend(floors.job().map(Effect::Compile));
+                        }
+                    }
                     Effect::Word(number, word, args) if WORDS.iter().any(|(w, _)| *w == word) => {
                         let answer = self.word(now, &word, &args);
                         self.effects.push(Effect::Answer(number, answer));
@@ -209,6 +234,12 @@
                 self.log.set(&cranesill_daemon::Log { level, ..self.daemon.log.clone() });
                 Ok(json!(format!("level is {level:?}").to_lowercase()))
             }
+            "purge-dry" => {
+                let what = super::purges::what(args)?;
+                let floors = self.front.floors.as_ref().ok_or("purges are off")?;
+                let (known, matched) = floors.matched(&what);
+                Ok(json!({"known_objects": known, "matched": matched}))
+            }
             "reload" => {
                 self.reload(now);
                 Ok("read again; the log tells what was taken over".into())
@@ -219,6 +250,8 @@
                 "open_requests": self.front.open(), "clients": self.clients.len(),
                 "clients_most": self.config.clients_most(), "held_bytes": self.clients.held() + self.members.held(),
                 "held_bytes_most": self.config.held_most(), "settings": self.daemon_file,
+                "purges": self.front.floors.as_ref().map(|f| json!({
+                    "live_objects_groups_tags_patterns": f.counts(), "answers_refused": f.refused, "lies": f.lies})),
             })),
         }
     }
--- a/front/src/protocol/member.rs
+++ b/front/src/protocol/member.rs
@@ -115,7 +115,8 @@
     for (name, value) in fields.split(',').filter_map(|f| f.split_once('=')) {
         match name {
             "ver" => reply.tagged = !value.is_empty(),
-            "born" => reply.dated = value.parse::<u64>().is_ok(),
+            "born" => reply.born = value.parse().ok(),
+            "tags" => reply.tags = Some(value.into()),
             "tell" => reply.note = note(value),
             "waited" => reply.waited = (value.parse::<f64>().unwrap_or(0.0).max(0.0) * 1e3) as u64,
             "meter" => {
@@ -214,7 +215,7 @@
             let n = fields.len();
             let answer = format!("*4\r\n$1\r\na\r\n$3\r\nHIT\r\n${n}\r\n{fields}\r\n$0\r\n\r\n");
             let (_, reply, _) = decode(answer.as_bytes()).unwrap().unwrap();
-            assert_eq!(reply.tagged && reply.dated, named, "{fields}");
+            assert_eq!(reply.tagged && reply.born.is_some(), named, "{fields}");
         }
     }
 }
--- a/front/src/routing/book.rs
+++ b/front/src/routing/book.rs
@@ -7,6 +7,7 @@
     pub fn ended(&mut self, now: Time, attempt: AttemptId, end: End) {
         let Some(out) = self.out.remove(&attempt) else { return };
         let id = attempt.request;
+        let end = self.judged(id, end);
         let (status, note, waited, meter) = match &end {
             End::Reply(reply) => (status(reply), reply.note, reply.waited, &reply.meter[..]),
             // Not written whole: the member can't have run it.
@@ -42,6 +43,18 @@
         );
     }
 
+    /// An answer from a copy that is older than a purge is none, whatever the member says.
+    fn judged(&mut self, id: RequestId, end: End) -> End {
+        let open = self.open.get(&id).filter(|open| !open.write);
+        let (End::Reply(reply), Some((floors, open))) = (&end, self.floors.as_mut().zip(open)) else {
+            return end;
+        };
+        if floors.judge(&open.ask, reply) {
+            return end;
+        }
+        End::Reply(MemberReply { word: Word::Fault, ..reply.clone() })
+    }
+
     /// The time of an attempt is up: it is given up at the member, and its end is booked.
     pub(super) fn expire(&mut self, now: Time, attempt: AttemptId) {
         if self.out.contains_key(&attempt) {
--- a/front/src/routing/mod.rs
+++ b/front/src/routing/mod.rs
@@ -3,6 +3,7 @@
 //! protocol would pass through the same decisions and rules.
 mod admit;
 mod book;
+mod floors;
 mod relay;
 mod route;
 mod send;
@@ -11,6 +12,7 @@
 mod tests;
 mod types;
 
+pub use floors::Floors;
 pub use types::*;
 
 use cranesill::api::{Action, MemberId, RequestId, Span, Time};
@@ -68,6 +70,8 @@
     last: u64,
     actions: Vec<Action>,
     commands: VecDeque<Command>,
+    /// Where the daemon's own purges are on.
+    pub floors: Option<Floors>,
 }
 
 impl Front {
@@ -86,6 +90,7 @@
             last: 0,
             actions: Vec::new(),
             commands: VecDeque::new(),
+            floors: None,
         }
     }
 
--- a/front/src/routing/send.rs
+++ b/front/src/routing/send.rs
@@ -19,20 +19,31 @@
         open.sent += 1;
         self.out.insert(attempt, Out { sent: now });
         let deadline = until.map_or(open.deadline, |until| until.min(open.deadline));
+        let mut fill = fill.map(|fill| Source {
+            source: Some(fill.source).filter(|s| *s != target),
+            rank: fill.rank,
+            oldest: fill.oldest,
+            join: fill.join,
+            only_held: fill.only_held,
+            renew: fill.renew,
+        });
+        // As of now, not as of when it was taken in: purges come while requests wait.
+        if let Some(floors) = self.floors.as_ref().filter(|_| !open.write) {
+            let told = fill.map_or(0, |f| f.oldest);
+            let oldest = floors.oldest(now, &open.ask, told);
+            if oldest != told {
+                let bare =
+                    Source { source: None, rank: 0, oldest, join: false, only_held: false, renew: false };
+                fill = Some(fill.map_or(bare, |fill| Source { oldest, ..fill }));
+            }
+        }
         let fetch = Fetch {
             txn: open.ask.txn,
             class: open.ask.class.as_str().into(),
             item: open.ask.item.clone(),
             part: open.ask.part,
             deadline,
-            fill: fill.map(|fill| Source {
-                source: Some(fill.source).filter(|s| *s != target),
-                rank: fill.rank,
-                oldest: fill.oldest,
-                join: fill.join,
-                only_held: fill.only_held,
-                renew: fill.renew,
-            }),
+            fill,
             seen: open.ask.have.clone(),
             write: open.write,
             body: Rc::clone(&open.ask.body),
--- a/front/src/routing/types.rs
+++ b/front/src/routing/types.rs
@@ -9,7 +9,7 @@
 impl MemberReply {
     /// Whether it serves from a copy that it does not name, as no member's good answer does.
     pub fn nameless(&self) -> bool {
-        matches!(self.word, Word::Hit | Word::Valid) && !(self.tagged && self.dated)
+        matches!(self.word, Word::Hit | Word::Valid) && !(self.tagged && self.born.is_some())
     }
 }
 
@@ -125,7 +125,10 @@
     pub waited: Span,
     /// It names the copy's tag, and when the origin gave it out.
     pub tagged: bool,
-    pub dated: bool,
+    /// Unix milliseconds.
+    pub born: Option<u64>,
+    /// Tags of the object, between semicolons, where the member names them (`docs/protocol.md`).
+    pub tags: Option<Box<str>>,
     /// Its load report: names and figures.
     pub meter: Vec<(String, f32)>,
 }
--- /dev/null
+++ b/purges/examples/measure-purges.rs
@@ -0,0 +1,128 @@
+//! Measures matching, the ledger and its journal: `make measure-purges`. The figures stand in `docs/design/purges.md`.
+use cranesill_purges::journal::{self, File, Opened};
+use cranesill_purges::ledger::{Command, Ledger, Taken};
+use cranesill_purges::matching::{compile, Index, Matcher};
+use cranesill_purges::{key, Purge, What};
+use std::io;
+use std::time::Instant;
+
+struct Memory(Vec<u8>);
+
+impl File for Memory {
+    fn read(&mut self) -> io::Result<Option<Vec<u8>>> {
+        Ok(Some(self.0.clone()))
+    }
+    fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.0.extend(bytes);
+        Ok(())
+    }
+    fn sync(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+    fn replace(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.0 = bytes.to_vec();
+        Ok(())
+    }
+}
+
+fn resident() -> u64 {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    text.split(' ').nth(1).and_then(|p| p.parse::<u64>().ok()).unwrap_or(0) * 4_096
+}
+
+fn purge(number: u64, what: What) -> Purge {
+    let id = number.to_string().into();
+    Purge { number, at: number, what, id, who: "ops".into(), why: "new photos".into() }
+}
+
+fn cost(matcher: &Matcher, index: &Index, what: &str) {
+    let rounds = 400_000u64;
+    let (mut sum, begun) = (0u64, Instant::now());
+    for i in 0..rounds {
+        let object = i.wrapping_mul(0x9e37_79b9_7f4a_7c15) % 200_000;
+        let key = key("page-bits", object, (i % 4) as u32);
+        sum = sum.wrapping_add(matcher.floor(0, object, (i % 256) as u32, index.tags(object), &key));
+    }
+    let each = begun.elapsed().as_nanos() as f64 / rounds as f64;
+    println!("{what}: {each:.0} ns a request, its key's text included (sum {sum})");
+}
+
+fn main() {
+    let mut index = Index::new(4 << 20);
+    let before = resident();
+    let begun = Instant::now();
+    for object in 0..200_000u64 {
+        index.learn(object, Some(&[["vitara", "swift", "alto", "dzire"][object as usize % 4], "blue"]));
+    }
+    let known = (0..200_000).filter(|o| index.tags(*o).is_some()).count();
+    println!(
+        "index of 4 MiB: {known} of 200000 objects known, {:.0} ns to learn one, {} bytes grown",
+        begun.elapsed().as_nanos() as f64 / 2e5,
+        resident().saturating_sub(before)
+    );
+    let mut matcher = Matcher::default();
+    cost(&matcher, &index, "no purge");
+    for number in 1..=10_000u64 {
+        let what = match number % 3 {
+            0 => What::Object(number * 17),
+            1 => What::Group((number % 256) as u32),
+            _ => What::Tag(format!("tag-{number}").into()),
+        };
+        matcher.add(&purge(number, what), 0);
+    }
+    cost(&matcher, &index, "10,000 purges");
+    let mut longest = 0;
+    for number in 10_001..=11_000u64 {
+        let text = match number % 3 {
+            0 => format!("car-video/{number:x}*/*"),
+            1 => format!("page-*/*{number:x}/?"),
+            _ => format!("*/{:016x}/*", number * 31),
+        };
+        matcher.add(&purge(number, What::Pattern(text.into())), 0);
+        if let Some(job) = matcher.job() {
+            let begun = Instant::now();
+            let set = compile(job);
+            longest = longest.max(begun.elapsed().as_micros());
+            matcher.install(set);
+        }
+    }
+    cost(&matcher, &index, "10,000 purges and 1,000 patterns");
+    println!(
+        "putting the patterns together, off the loop: {longest} us at most; {} bytes resident",
+        resident()
+    );
+    let (before, begun) = (resident(), Instant::now());
+    let (mut ledger, mut file) = (Ledger::new(7), Memory(Vec::new()));
+    journal::rewrite(&mut file, &ledger).unwrap();
+    for n in 0..1_000_000u64 {
+        let what = What::Object(n);
+        let id = n.to_string().into();
+        let command = Command { what, id, who: "ops".into(), why: "new photos".into(), all: false };
+        let Ok(Taken::New(purge)) = ledger.take(n, &command) else { panic!() };
+        journal::keep(&mut file, &purge).unwrap();
+        ledger.append(7, purge).unwrap();
+    }
+    println!(
+        "a ledger of a million: {} bytes of file, {} bytes of memory, {:.0} ns to take one in without the disk",
+        file.0.len(),
+        resident().saturating_sub(before),
+        begun.elapsed().as_nanos() as f64 / 1e6
+    );
+    drop(ledger);
+    let begun = Instant::now();
+    let Ok(Opened::Whole { ledger, .. }) = journal::open(&mut file) else { panic!() };
+    println!("reading it again: {} ms for {}", begun.elapsed().as_millis(), ledger.last());
+    let folder = std::env::temp_dir().join(format!("measure-purges-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let mut disk = std::fs::File::create(folder.join("ledger")).unwrap();
+    let (mut spans, bytes) = (Vec::new(), journal::record(ledger.get(1).unwrap()));
+    for _ in 0..500 {
+        let begun = Instant::now();
+        io::Write::write_all(&mut disk, &bytes).unwrap();
+        disk.sync_data().unwrap();
+        spans.push(begun.elapsed().as_micros());
+    }
+    spans.sort_unstable();
+    println!("keeping one on this disk: p50 {} us, p99 {} us", spans[250], spans[495]);
+    std::fs::remove_dir_all(&folder).unwrap();
+}
--- a/purges/src/contact.rs
+++ b/purges/src/contact.rs
@@ -69,7 +69,10 @@
     fn a_loss_is_said_once_raises_the_floor_or_is_counted_and_ends_with_the_next_word() {
         let mut strict = Contact::new(0, 1_000, 500, Without::Strict);
         assert_eq!((strict.floor(499, 1_000), strict.lost_now(499)), (0, false));
-        assert_eq!((strict.floor(500, 1_000), strict.lost_now(500), strict.lost_now(501)), (1_000, true, false));
+        assert_eq!(
+            (strict.floor(500, 1_000), strict.lost_now(500), strict.lost_now(501)),
+            (1_000, true, false)
+        );
         assert_eq!(strict.floor(9_000_000, 10_000), 10_000, "it follows the clock");
         assert!(strict.heard(600, 2_000));
         assert!(!strict.heard(601, 2_001));
--- a/purges/src/journal.rs
+++ b/purges/src/journal.rs
@@ -141,7 +141,11 @@
         2 | 3 => {
             let size = u16::from_le_bytes(take(2)?.try_into().ok()?);
             let text = std::str::from_utf8(take(size.into())?).ok()?;
-            if kind == 2 { What::Tag(text.into()) } else { What::Pattern(text.into()) }
+            if kind == 2 {
+                What::Tag(text.into())
+            } else {
+                What::Pattern(text.into())
+            }
         }
         _ => return None,
     };
@@ -258,12 +262,13 @@
     fn what_was_kept_is_there_after_a_cut_at_any_byte_and_no_more() {
         let (file, ledger) = filled(20);
         let whole = file.kept.unwrap();
-        let ends: Vec<usize> = (0..=20)
-            .map(|n| HEAD + ledger.iter().take(n).map(|p| record(p).len()).sum::<usize>())
-            .collect();
+        let ends: Vec<usize> =
+            (0..=20).map(|n| HEAD + ledger.iter().take(n).map(|p| record(p).len()).sum::<usize>()).collect();
         for cut in HEAD..=whole.len() {
             let mut file = Memory { kept: Some(whole[..cut].to_vec()), ..Memory::default() };
-            let Opened::Whole { ledger: found, torn } = open(&mut file).unwrap() else { panic!("cut at {cut}") };
+            let Opened::Whole { ledger: found, torn } = open(&mut file).unwrap() else {
+                panic!("cut at {cut}")
+            };
             let kept = ends.iter().rposition(|end| *end <= cut).unwrap();
             assert_eq!((found.last(), torn), (kept as u64, cut - ends[kept]), "cut at {cut}");
             assert!(found.iter().eq(ledger.iter().take(kept)));
@@ -313,7 +318,8 @@
         rewrite(&mut file, &ledger).unwrap();
         let Opened::Whole { ledger: found, .. } = open(&mut file).unwrap() else { panic!() };
         assert_eq!((found.base(), found.last()), (15, 20));
-        let mut newer = Memory { kept: Some([b"CRPURGE2".to_vec(), vec![0; 40]].concat()), ..Memory::default() };
+        let mut newer =
+            Memory { kept: Some([b"CRPURGE2".to_vec(), vec![0; 40]].concat()), ..Memory::default() };
         assert_eq!(open(&mut newer).unwrap(), Opened::Newer);
         let bytes = record(ledger.get(20).unwrap());
         let mut dice = 1u64;
--- a/purges/src/ledger.rs
+++ b/purges/src/ledger.rs
@@ -95,7 +95,10 @@
     /// kept. Moments never go back, whatever the clock does: order by number is order by moment.
     pub fn take(&self, now: Ms, command: &Command) -> Result<Taken, Refused> {
         let sound = |text: &str, most: usize| text.len() <= most && !text.chars().any(char::is_control);
-        if !(sound(&command.id, WORDS_MOST) && sound(&command.who, WORDS_MOST) && sound(&command.why, WORDS_MOST)) {
+        if !(sound(&command.id, WORDS_MOST)
+            && sound(&command.who, WORDS_MOST)
+            && sound(&command.why, WORDS_MOST))
+        {
             return Err(Refused::Bad("id, who or why: too long, or with control characters"));
         }
         if command.id.is_empty() {
@@ -105,7 +108,9 @@
             What::Tag(tag) if tag.is_empty() || !sound(tag, TAG_MOST) => {
                 return Err(Refused::Bad("tag: empty, too long, or with control characters"));
             }
-            What::Tag(tag) if tag.contains([',', ';']) => return Err(Refused::Bad("tag: with a comma or semicolon")),
+            What::Tag(tag) if tag.contains([',', ';']) => {
+                return Err(Refused::Bad("tag: with a comma or semicolon"))
+            }
             What::Pattern(pattern) => {
                 let all = glob(pattern).map_err(Refused::Bad)?.1;
                 if all && !command.all {
@@ -116,7 +121,11 @@
         }
         if let Some(number) = self.ids.get(&command.id) {
             let same = self.get(*number).is_none_or(|p| p.what == command.what);
-            return if same { Ok(Taken::Known(*number)) } else { Err(Refused::Bad("id: names another purge")) };
+            return if same {
+                Ok(Taken::Known(*number))
+            } else {
+                Err(Refused::Bad("id: names another purge"))
+            };
         }
         if self.held.len() >= HELD_MOST {
             return Err(Refused::Full);
--- a/purges/src/matching.rs
+++ b/purges/src/matching.rs
@@ -231,7 +231,8 @@
     pub fn floor(&self, after: Number, object: u64, group: u32, tags: Option<&[u64]>, key: &str) -> Ms {
         let live = |mark: &Mark| mark.number > after;
         let mut floor = 0;
-        let mut note = |mark: Option<&Mark>| floor = mark.filter(|m| live(m)).map_or(floor, |m| floor.max(m.at));
+        let mut note =
+            |mark: Option<&Mark>| floor = mark.filter(|m| live(m)).map_or(floor, |m| floor.max(m.at));
         note(Some(&self.all));
         note(self.objects.get(&object));
         note(self.groups.get(&group));
@@ -295,7 +296,8 @@
         index.learn(2, Some(&[]));
         index.learn(3, Some(&["a", "b", "c", "d", "e"]));
         matcher.add(&purge(1, 500, What::Tag("vitara".into())), 0);
-        let floor = |index: &Index, object| matcher.floor(0, object, 0, index.tags(object), &key("v", object, 0));
+        let floor =
+            |index: &Index, object| matcher.floor(0, object, 0, index.tags(object), &key("v", object, 0));
         assert_eq!([1, 2, 3, 4].map(|o| floor(&index, o)), [500, 0, 500, 500]);
         // A new version of the object has lost the tag.
         index.learn(1, Some(&["blue"]));
--- a/purges/tests/simulation.rs
+++ b/purges/tests/simulation.rs
@@ -216,9 +216,9 @@
             assert!(after <= member.applied, "box {id} was sent {after} and has {}", member.applied);
             for number in after + 1..=upto {
                 let Some(purge) = self.ledger.get(number) else { continue };
-                member.copies.retain(|object, (born, _)| {
-                    !concerns(purge, *object, &TAGS) || *born >= purge.at + SKEW
-                });
+                member
+                    .copies
+                    .retain(|object, (born, _)| !concerns(purge, *object, &TAGS) || *born >= purge.at + SKEW);
             }
             member.applied = member.applied.max(upto);
             self.from_box.push((now + 5 + self.dice.below(30), id, upto));
@@ -309,7 +309,10 @@
         };
         let contact = match self.out {
             Guard::ContactLease => 0,
-            _ => front.contact.floor(now * 1_000, now).saturating_add(if now * 1_000 >= front.contact.due() { SKEW } else { 0 }),
+            _ => front
+                .contact
+                .floor(now * 1_000, now)
+                .saturating_add(if now * 1_000 >= front.contact.due() { SKEW } else { 0 }),
         };
         let floor =
             front.matcher.floor(0, object, (object % 5) as u32, tags, &key("video", object, 0)).max(contact);
@@ -398,7 +401,11 @@
             }
         }
         let behind = self.fronts.iter().any(|f| f.ledger.last() != head);
-        if behind { Err("a front never caught up".into()) } else { Ok(()) }
+        if behind {
+            Err("a front never caught up".into())
+        } else {
+            Ok(())
+        }
     }
 }
 
@@ -456,7 +463,11 @@
         }
         for batch in boxes.next(now, 0, 1_000) {
             assert!(batch.upto - batch.after <= 256);
-            assert_eq!(sent.insert(batch.to, batch.upto).unwrap_or(0), batch.after, "in order, none left out");
+            assert_eq!(
+                sent.insert(batch.to, batch.upto).unwrap_or(0),
+                batch.after,
+                "in order, none left out"
+            );
             assert!(!out.iter().any(|o| o.1 == batch.to), "never two batches out");
             // Twenty boxes take two seconds for each batch.
             let takes = if batch.to % 5 == 0 { 2_000_000 } else { 20_000 };
