--- a/Makefile
+++ b/Makefile
@@ -36,3 +36,7 @@
 .PHONY: measure-purges
 measure-purges:
 	cargo run --release --locked -p cranesill-purges --example measure-purges
+
+.PHONY: measure-boxes
+measure-boxes: build
+	cargo run --release --locked -p cranesill-front --example measure-boxes
--- a/daemon/src/check.rs
+++ b/daemon/src/check.rs
@@ -1,5 +1,5 @@
 //! Reads the file and finds its faults: by the schema first, then what no schema can say, section by section.
-use crate::types::{Certs, Challenge, Daemon, Tls};
+use crate::types::{Certs, Challenge, Daemon, Purges, Tls};
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use std::collections::HashMap;
@@ -49,6 +49,9 @@
     if let Some(certs) = &certs {
         check_certs(certs, value.get("tls").is_some(), &mut faults);
     }
+    if let Some(purges) = section::<Purges>(&value, "purges") {
+        check_purges(&purges, &mut faults);
+    }
     if faults.is_empty() {
         return serde_json::from_value(value).map_err(|e| whole(e.to_string()));
     }
@@ -119,6 +122,24 @@
     }
 }
 
+fn check_purges(purges: &Purges, faults: &mut Vec<Fault>) {
+    if let Some(serve) = &purges.serve {
+        address(serve, "$.purges.serve", faults);
+    }
+    let Some(follow) = &purges.follow else { return };
+    address(&follow.address, "$.purges.follow.address", faults);
+    let mut only_writer = |path: &str, on: bool| {
+        if on {
+            faults.push(Fault {
+                path: path.into(),
+                what: "only the writer does that, and this front follows".into(),
+            });
+        }
+    };
+    only_writer("$.purges.serve", purges.serve.is_some());
+    only_writer("$.purges.boxes", purges.boxes.is_some());
+}
+
 /// Whether a name is one that a certificate for a host may carry (RFC 1123, section 2.1).
 fn host(name: &str) -> Result<(), &'static str> {
     if name.is_empty() || name.len() > NAME_MOST {
--- a/daemon/src/types.rs
+++ b/daemon/src/types.rs
@@ -42,14 +42,95 @@
     /// By so much the clocks of those who date copies may be ahead.
     #[schemars(range(min = 0, max = 60_000))]
     pub skew_ms: u64,
+    /// Address and port on which the ledger is served to fronts that follow; absent: it is not.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    #[schemars(with = "String")]
+    pub serve: Option<String>,
+    /// The ledger of another front is followed; absent: this front writes its own.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    #[schemars(with = "Follow")]
+    pub follow: Option<Follow>,
+    /// Boxes are sent purges; absent: none is.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    #[schemars(with = "Boxes")]
+    pub boxes: Option<Boxes>,
+    /// Fetches a second that purges may send past the caches; the last part of it is kept for what is worth most.
+    /// Absent: there is no bound.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    #[schemars(with = "u32", range(min = 1, max = 1_000_000))]
+    pub shield_per_s: Option<u32>,
     /// Memory for the tags of objects.
     #[schemars(range(min = 4_096, max = 1_073_741_824))]
     pub index_bytes: usize,
 }
 
+/// The ledger of another front.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Follow {
+    /// Where its writer serves it: address and port.
+    pub address: String,
+    /// Contact counts as lost after this long without a word of the writer.
+    #[serde(default = "lease_ms")]
+    #[schemars(range(min = 1_000, max = 3_600_000))]
+    pub lease_ms: u64,
+    /// What is done without contact.
+    #[serde(default)]
+    pub without_contact: WithoutContact,
+}
+
+fn lease_ms() -> u64 {
+    5_000
+}
+
+/// What is done without contact to the writer of the ledger.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "lowercase")]
+pub enum WithoutContact {
+    /// Nothing is served that is older than the lease.
+    #[default]
+    Strict,
+    /// It goes on, and counts the answers that stood under the doubt.
+    Available,
+}
+
+/// Boxes that are sent purges.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Boxes {
+    /// Kinds of members that speak of purges, as the platform's settings name them.
+    #[schemars(length(min = 1))]
+    pub kinds: Vec<String>,
+    /// Purges a second that go out to all boxes together.
+    #[serde(default = "per_s")]
+    #[schemars(range(min = 1, max = 1_000_000))]
+    pub per_s: u32,
+    /// Connections to boxes at once; descriptors for them come out of those of clients.
+    #[serde(default = "connections_most")]
+    #[schemars(range(min = 1, max = 4096))]
+    pub connections_most: usize,
+}
+
+fn per_s() -> u32 {
+    20_000
+}
+
+fn connections_most() -> usize {
+    64
+}
+
 impl Default for Purges {
     fn default() -> Self {
-        Purges { file: None, horizon_s: 86_400, skew_ms: 1_000, index_bytes: 1 << 20 }
+        Purges {
+            file: None,
+            horizon_s: 86_400,
+            skew_ms: 1_000,
+            serve: None,
+            follow: None,
+            boxes: None,
+            shield_per_s: None,
+            index_bytes: 1 << 20,
+        }
     }
 }
 
--- /dev/null
+++ b/front/examples/measure-boxes.rs
@@ -0,0 +1,192 @@
+//! Measures the delay from a command to the last box's confirmation, with 10, 100 and 1,000 stand-in boxes, purges a
+//! second, and the load on the stand-in origin after a purge of everything with and without the shield. `make
+//! measure-boxes` runs it; the figures stand in `docs/design/purges.md`.
+use cranesill_standins::boxes::{Origin, TaggedBox};
+use serde_json::{json, Value};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::net::UnixStream;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+struct Front {
+    child: Child,
+    control: PathBuf,
+    listen: SocketAddr,
+    _folder: tempfile::TempDir,
+    _feed: TcpListener,
+}
+
+impl Front {
+    fn start(boxes: &[TaggedBox], main: &TaggedBox, purges: Value) -> Front {
+        let folder = tempfile::tempdir().unwrap();
+        let feed = TcpListener::bind("127.0.0.1:0").unwrap();
+        let listen = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let mut config: Value = serde_json::from_str(include_str!("config.json")).unwrap();
+        config["listen"] = listen.to_string().into();
+        config["feed"] = feed.local_addr().unwrap().to_string().into();
+        config["limits"]["sockets"] = 16_384.into();
+        let member = |id: usize, at: String, zone: &str, kind: &str| {
+            json!({"instanceId": format!("s-{id:08x}"), "hostPort": at, "zone": zone, "machineType": kind,
+                   "cell": 0, "lifecycle": "in_service", "weight": 8, "startedAtMs": 0})
+        };
+        let mut all: Vec<Value> = boxes
+            .iter()
+            .enumerate()
+            .map(|(i, b)| member(0x100 + i, b.address.to_string(), "edge-1", "small-box"))
+            .collect();
+        all.push(member(0x31, main.address.to_string(), "east-hub", "origin"));
+        config["known"]["events"][0]["members"]["instances"] = all.into();
+        let control = folder.path().join("control");
+        let mut purges = purges;
+        purges["file"] = folder.path().join("purges").display().to_string().into();
+        purges["skew_ms"] = 0.into();
+        let settings = json!({"control": {"path": control}, "purges": purges});
+        let write = |name: &str, value: &Value| {
+            let path = folder.path().join(name);
+            std::fs::write(&path, value.to_string()).unwrap();
+            path
+        };
+        let (config, settings) = (write("config.json", &config), write("daemon.json", &settings));
+        let exe = std::env::current_exe().unwrap();
+        let exe = exe.parent().and_then(|p| p.parent()).unwrap().join("cranesill");
+        let mut command = Command::new(exe);
+        command.arg("serve").arg(&config).arg("--settings").arg(&settings).stderr(Stdio::null());
+        let child = command.spawn().unwrap();
+        while !control.exists() {
+            std::thread::yield_now();
+        }
+        Front { child, control, listen, _folder: folder, _feed: feed }
+    }
+
+    fn ask(&self, word: &str, args: Value) -> Value {
+        let mut socket = UnixStream::connect(&self.control).unwrap();
+        socket.write_all(format!("{}\n", json!({"word": word, "args": args})).as_bytes()).unwrap();
+        let mut answer = String::new();
+        BufReader::new(socket).read_line(&mut answer).unwrap();
+        serde_json::from_str(&answer).unwrap()
+    }
+}
+
+impl Drop for Front {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn delays(count: usize) {
+    let origin = Arc::new(Origin::default());
+    let boxes: Vec<_> = (0..count).map(|_| TaggedBox::start(Arc::clone(&origin), true).unwrap()).collect();
+    let main = TaggedBox::start(Arc::clone(&origin), false).unwrap();
+    let on = json!({"kinds": ["small-box"], "connections_most": count, "per_s": 1_000_000});
+    let front = Front::start(&boxes, &main, json!({"boxes": on}));
+    let wait =
+        |n: u64| front.ask("purge", json!({"tag": format!("t{n}"), "id": n.to_string(), "wait_s": 60}));
+    assert!(wait(0)["ok"].is_object());
+    let rounds = if count > 500 { 30 } else { 100 };
+    let mut spans: Vec<_> = (1..=rounds)
+        .map(|n| {
+            let begun = Instant::now();
+            let answer = wait(n);
+            assert!(answer["ok"].is_object(), "{answer}");
+            begun.elapsed().as_micros()
+        })
+        .collect();
+    spans.sort_unstable();
+    let at = |share: f64| spans[((spans.len() - 1) as f64 * share) as usize];
+    println!("{count} boxes: p50 {} us, p99 {} us, max {} us", at(0.5), at(0.99), at(1.0));
+    if count == 10 {
+        let begun = Instant::now();
+        let threads: Vec<_> = (0..8)
+            .map(|t| {
+                let control = front.control.clone();
+                std::thread::spawn(move || {
+                    let mut socket = UnixStream::connect(control).unwrap();
+                    let mut answers = BufReader::new(socket.try_clone().unwrap());
+                    for n in 0..500 {
+                        let args = json!({"object": format!("{n:016x}"), "id": format!("{t}-{n}")});
+                        socket
+                            .write_all(format!("{}\n", json!({"word": "purge", "args": args})).as_bytes())
+                            .unwrap();
+                        answers.read_line(&mut String::new()).unwrap();
+                    }
+                })
+            })
+            .collect();
+        threads.into_iter().for_each(|t| t.join().unwrap());
+        println!(
+            "purges a second, each kept before it is answered: {:.0}",
+            4_000.0 / begun.elapsed().as_secs_f64()
+        );
+    }
+}
+
+/// One request; whether it was served.
+fn request(socket: &mut TcpStream, stream: u32, item: u64) -> Option<bool> {
+    static LAST: AtomicU64 = AtomicU64::new(1);
+    let (txn, item) = (format!("{:016x}", LAST.fetch_add(1, Ordering::Relaxed)), format!("{item:016x}"));
+    let fields = [("verb", "page-bits"), ("txn", &txn), ("limit", "2400"), ("item", &item), ("group", "3")];
+    let mut payload = vec![fields.len() as u8];
+    for (name, value) in fields {
+        payload.push(name.len() as u8);
+        payload.extend(name.bytes());
+        payload.extend((value.len() as u16).to_be_bytes());
+        payload.extend(value.bytes());
+    }
+    let head = [&(5 + payload.len() as u32).to_be_bytes()[..], &[10], &stream.to_be_bytes()].concat();
+    socket.write_all(&[head, payload].concat()).ok()?;
+    let mut length = [0; 4];
+    socket.read_exact(&mut length).ok()?;
+    let mut frame = vec![0; u32::from_be_bytes(length) as usize];
+    socket.read_exact(&mut frame).ok()?;
+    Some(frame[5] == 1)
+}
+
+fn everything(shield: Option<u32>) {
+    let origin = Arc::new(Origin::default());
+    let boxes: Vec<_> = (0..6).map(|_| TaggedBox::start(Arc::clone(&origin), true).unwrap()).collect();
+    let main = TaggedBox::start(Arc::clone(&origin), false).unwrap();
+    let mut purges = json!({});
+    if let Some(shield) = shield {
+        purges["shield_per_s"] = shield.into();
+    }
+    let front = Front::start(&boxes, &main, purges);
+    let run = |span: Duration| {
+        let threads: Vec<_> = (0..16u64)
+            .map(|t| {
+                let at = front.listen;
+                std::thread::spawn(move || {
+                    let (mut socket, begun) = (TcpStream::connect(at).unwrap(), Instant::now());
+                    let (mut served, mut all, mut stream) = (0u64, 0u64, 0);
+                    while begun.elapsed() < span {
+                        stream += 1;
+                        let item = (u64::from(stream) * 16 + t) % 4_000;
+                        served += u64::from(request(&mut socket, stream, item) == Some(true));
+                        all += 1;
+                    }
+                    (served, all)
+                })
+            })
+            .collect();
+        threads.into_iter().map(|t| t.join().unwrap()).fold((0, 0), |a, b| (a.0 + b.0, a.1 + b.1))
+    };
+    run(Duration::from_secs(2));
+    let before = origin.fetches.load(Ordering::SeqCst);
+    let answer = front.ask("purge", json!({"pattern": "*", "all": true, "id": "all"}));
+    assert!(answer["ok"].is_object(), "{answer}");
+    let (served, all) = run(Duration::from_secs(1));
+    let first = origin.fetches.load(Ordering::SeqCst) - before;
+    let (later, of) = run(Duration::from_secs(2));
+    println!(
+        "purge of everything, shield {shield:?}: {first} fetches in the first second, served {served} of {all}; then {later} of {of}"
+    );
+}
+
+fn main() {
+    [10, 100, 1_000].into_iter().for_each(delays);
+    [None, Some(500)].into_iter().for_each(everything);
+}
--- a/front/src/program/config.rs
+++ b/front/src/program/config.rs
@@ -80,12 +80,18 @@
         let tls = daemon.tls.as_ref().map_or(0, |tls| tls.handshakes_most + 1);
         let control = daemon.control.as_ref().map_or(0, |_| super::control::OPERATORS_MOST + 1);
         let certs = daemon.certs.as_ref().map_or(0, |c| c.orders_at_once + super::certs::DESCRIPTORS);
-        self.reserved = tls + control + certs;
+        let boxes = daemon.purges.as_ref().and_then(|p| p.boxes.as_ref());
+        let purges = daemon
+            .purges
+            .as_ref()
+            .map_or(0, |p| 6 + p.serve.as_ref().map_or(0, |_| super::replicas::FOLLOWERS_MOST))
+            + boxes.map_or(0, |b| b.connections_most);
+        self.reserved = tls + control + certs + purges;
         let most = self.sockets / 4;
         if self.reserved > most {
             let all = self.reserved;
             return Err(format!(
-                "$.tls.handshakes_most: control, tls and certs would take {all} descriptors, and {most} of {} are \
+                "$.tls.handshakes_most: control, tls, certs and purges would take {all} descriptors, and {most} of {} are \
                  for them",
                 self.sockets
             ));
--- a/front/src/program/control.rs
+++ b/front/src/program/control.rs
@@ -76,6 +76,7 @@
         let listener_key = turn.key();
         let listener = turn.reactor.watch(bind(path)?, listener_key, false);
         let listener = listener.map_err(|e| format!("control.path: {e}"))?;
+        tracing::info!(path = %path.display(), "control socket");
         Ok(Control {
             listener,
             listener_key,
--- a/front/src/program/ctl.rs
+++ b/front/src/program/ctl.rs
@@ -39,9 +39,11 @@
         id: Option<String>,
         why: Option<String>,
         all: bool,
+        wait: Option<u64>,
         dry: bool,
     },
     Purges(Option<u64>),
+    Boxes,
 }
 
 /// What an operator asks for.
@@ -112,8 +114,11 @@
     let why = long("why").help("For whoever looks later").argument::<String>("TEXT").optional();
     let all = long("all").help("A pattern that matches everything is meant to").switch();
     let dry = long("dry-run").help("Tell how many known objects match").switch();
+    let wait = long("wait").help("Wait until all boxes have confirmed it").req_flag(60u64);
+    let wait_s = long("wait-s").help("The same, for so many seconds at most").argument::<u64>("S");
+    let wait = construct!([wait, wait_s]).optional();
     let (at, json) = (at(), json_out());
-    let verb = construct!(Verb::Purge { what, id, why, all, dry });
+    let verb = construct!(Verb::Purge { what, id, why, all, wait, dry });
     construct!(Ctl { at, json, verb }).to_options().descr("Purge copies").command("purge")
 }
 
@@ -122,7 +127,8 @@
     let list = bpaf::pure(Verb::Purges(None)).to_options().descr("The ledger, latest first").command("list");
     let number = positional::<u64>("N").map(|n| Verb::Purges(Some(n)));
     let show = number.to_options().descr("One purge").command("show");
-    let verb = construct!([list, show]);
+    let boxes = bpaf::pure(Verb::Boxes).to_options().descr("What each box has confirmed").command("boxes");
+    let verb = construct!([list, show, boxes]);
     let (at, json) = (at(), json_out());
     construct!(Ctl { at, json, verb }).to_options().descr("Purges of a running daemon").command("purges")
 }
@@ -261,7 +267,8 @@
         Verb::Import(key, chain) => ask("certs-import", json!({"key": read(key)?, "chain": read(chain)?}))?,
         Verb::RollKey => ask("certs-roll-key", Value::Null)?,
         Verb::Purge { what: (name, value), dry: true, .. } => ask("purge-dry", json!({*name: value}))?,
-        Verb::Purge { what: (name, value), id, why, all, .. } => {
+        Verb::Boxes => ask("purge-boxes", Value::Null)?,
+        Verb::Purge { what: (name, value), id, why, all, wait, .. } => {
             let who = std::env::var("USER").unwrap_or_else(|_| "operator".into());
             // An id of its own for a command that names none: it can't be repeated by chance.
             let made = || {
@@ -270,7 +277,7 @@
                 format!("{}-{}", now.as_nanos(), std::process::id())
             };
             let id = id.clone().unwrap_or_else(made);
-            ask("purge", json!({*name: value, "id": id, "who": who, "why": why, "all": all}))?
+            ask("purge", json!({*name: value, "id": id, "who": who, "why": why, "all": all, "wait_s": wait}))?
         }
         Verb::Purges(number) => {
             let answer = ask("purges", json!({"number": number}))?;
--- a/front/src/program/driver.rs
+++ b/front/src/program/driver.rs
@@ -23,8 +23,18 @@
     Prove(String, Option<Arc<Proof>>),
     /// Purges are on from now on; everything may have been purged up to a moment in Unix milliseconds.
     Floors(cranesill_daemon::Purges, Option<u64>),
+    /// Everything may have been purged up to a moment in Unix milliseconds.
+    Everything(u64),
+    /// The writer of the ledger was heard of, and all that it has is here.
+    Contact,
     /// Purges that count from now on.
     Purged(Vec<cranesill_purges::Purge>),
+    /// Members that are listed, with their kind and where they listen (`None`: gone); `true`: all that there are.
+    Members(Vec<(u64, u8, Option<std::net::SocketAddr>)>, bool),
+    /// All boxes have carried out everything up to this number.
+    Confirmed(u64),
+    /// A member served what it had been asked not to.
+    Lied(u64),
     /// Purges from before this moment, in Unix milliseconds, are over.
     Horizon(u64),
     /// Patterns to be put together, and those that were.
--- a/front/src/program/mod.rs
+++ b/front/src/program/mod.rs
@@ -1,4 +1,5 @@
 //! Command line, configuration, log, the one loop, and a file for each subsystem that it drives.
+mod boxes;
 mod certs;
 mod cli;
 mod clients;
@@ -10,6 +11,7 @@
 mod log;
 mod members;
 mod purges;
+mod replicas;
 mod serve;
 mod tls;
 
--- a/front/src/program/purges.rs
+++ b/front/src/program/purges.rs
@@ -1,6 +1,9 @@
 //! Drives the ledger of purges: commands of operators in, a file behind it, purges out to the floors. A purge counts
 //! once it is kept; who asked is told then.
+use super::boxes::BoxLinks;
 use super::driver::{Driver, Effect, Turn};
+use super::replicas::{Followers, Following};
+use crate::protocol::follow::Frame;
 use crate::transport::Workers;
 use cranesill::api::{Span, Time};
 use cranesill_daemon::Purges as Settings;
@@ -9,7 +12,7 @@
 use cranesill_purges::matching::{compile, Set};
 use cranesill_purges::{Ms, Purge, What};
 use serde_json::{json, Value};
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::io::{self, Read, Write};
 use std::os::unix::fs::OpenOptionsExt;
 use std::path::{Path, PathBuf};
@@ -80,6 +83,8 @@
 enum Done {
     /// A purge was kept, or why not.
     Kept(Result<(), String>),
+    /// A batch from the writer was kept up to a number, or why not.
+    KeptBatch(u64, Result<(), String>),
     Rewritten(Result<(), String>),
     Compiled(Result<Set, String>),
 }
@@ -94,9 +99,39 @@
     /// Commands that were taken in; the first is being kept.
     waiting: VecDeque<(u64, Command)>,
     keeping: Option<(u64, Purge)>,
+    /// Those that are sent purges, and positions of their kinds.
+    boxes: Option<(BoxLinks, Vec<u8>)>,
+    /// Where this front writes and others follow.
+    followers: Option<Followers>,
+    /// Where this front follows.
+    following: Option<Following>,
+    /// Operators that wait for all boxes: until when, and for which number.
+    waits: Vec<(u64, Time, u64)>,
+    /// Until when operators want to wait whose commands are not kept yet.
+    waiters: BTreeMap<u64, Time>,
     /// The file failed: nothing is taken in until it can be written anew.
     broken: Option<String>,
     sweep: Time,
+    now: Time,
+}
+
+/// What was purged before is not known: everything is, as a purge like any other, so that it is kept and reaches boxes.
+fn everything(ledger: &mut Ledger, why: &str) {
+    let (number, identity) = (ledger.last() + 1, ledger.identity);
+    let what = What::Pattern("*".into());
+    let id = format!("start-{identity:016x}").into();
+    let purge = Purge { number, at: wall(), what, id, who: "cranesill".into(), why: why.into() };
+    // It is the next one of this very ledger.
+    let _ = ledger.append(identity, purge);
+}
+
+/// Where kinds stand in the platform's list.
+fn positions(wanted: &[String], kinds: &[String]) -> Result<Vec<u8>, String> {
+    let at = |name: &String| {
+        let found = kinds.iter().position(|k| k == name).and_then(|at| u8::try_from(at).ok());
+        found.ok_or_else(|| format!("purges.boxes.kinds: the platform has no kind {name}"))
+    };
+    wanted.iter().map(at).collect()
 }
 
 fn wall() -> Ms {
@@ -105,7 +140,8 @@
 
 impl Purges {
     /// Reads the ledger before the first request is taken. What can't be read is taken for purged.
-    pub fn new(turn: &mut Turn<'_>, settings: &Settings) -> Result<Self, String> {
+    pub fn new(turn: &mut Turn<'_>, settings: &Settings, kinds: &[String]) -> Result<Self, String> {
+        let boxes = settings.boxes.as_ref().map(|b| positions(&b.kinds, kinds)).transpose()?;
         let workers_key = turn.key();
         let workers = Workers::new(turn.reactor, workers_key).map_err(|e| format!("purges: {e}"))?;
         let identity = wall() ^ (u64::from(std::process::id()) << 44);
@@ -114,7 +150,11 @@
             let mut file = Disk { path: path.clone(), tail: None };
             let failed = |e: io::Error| format!("purges.file: {}: {e}", path.display());
             match journal::open(&mut file).map_err(failed)? {
-                Opened::Missing => journal::rewrite(&mut file, &ledger).map_err(failed)?,
+                Opened::Missing => {
+                    // A lost disk looks the same as a first start.
+                    everything(&mut ledger, "the file was missing");
+                    journal::rewrite(&mut file, &ledger).map_err(failed)?;
+                }
                 Opened::Whole { ledger: found, torn } => {
                     if torn > 0 {
                         tracing::warn!(
@@ -124,7 +164,7 @@
                         );
                         journal::rewrite(&mut file, &found).map_err(failed)?;
                     }
-                    (ledger, unknown) = (found, false);
+                    ledger = found;
                 }
                 Opened::Damaged { ledger: found, at } => {
                     tracing::error!(
@@ -140,6 +180,7 @@
                         // The same purges under their own order; none can be refused.
                         let _ = fresh.append(identity, Purge { number, ..purge.clone() });
                     }
+                    everything(&mut fresh, "the file was damaged");
                     std::fs::copy(path, path.with_extension("damaged")).map_err(failed)?;
                     journal::rewrite(&mut file, &fresh).map_err(failed)?;
                     ledger = fresh;
@@ -151,6 +192,7 @@
                     ));
                 }
             }
+            unknown = false;
             disk = Some(Arc::new(Mutex::new(file)));
         }
         let horizon = wall().saturating_sub(settings.horizon_s * 1_000);
@@ -158,7 +200,18 @@
         tracing::info!(last = ledger.last(), live = live.len(), unknown, "purges");
         turn.effects.push(Effect::Floors(settings.clone(), unknown.then(wall)));
         turn.effects.push(Effect::Purged(live));
+        let boxes = boxes
+            .zip(settings.boxes.as_ref())
+            .map(|(kinds, b)| (BoxLinks::new(turn.now, &ledger, b.per_s.into(), b.connections_most), kinds));
+        let followers = settings.serve.as_ref().map(|at| Followers::new(turn, at)).transpose()?;
+        let follow = settings.follow.as_ref().map(|f| f.address.as_str());
+        let following = follow.map(|at| Following::new(turn.now, at)).transpose()?;
         Ok(Purges {
+            followers,
+            following,
+            boxes,
+            waits: Vec::new(),
+            waiters: BTreeMap::new(),
             ledger,
             disk,
             workers,
@@ -168,6 +221,7 @@
             keeping: None,
             broken: None,
             sweep: turn.now + SWEEP,
+            now: turn.now,
         })
     }
 
@@ -181,7 +235,7 @@
             }
             match self.ledger.take(wall(), &command) {
                 Ok(Taken::Known(known)) => {
-                    turn.effects.push(Effect::Answer(number, Ok(json!({"number": known, "repeated": true}))));
+                    self.answer(turn, number, known, true);
                 }
                 Ok(Taken::New(purge)) => match self.disk.clone() {
                     None => self.kept(turn, number, purge),
@@ -197,6 +251,7 @@
                     }
                 },
                 Err(refused) => {
+                    self.waiters.remove(&number);
                     let why = match refused {
                         Refused::Bad(why) => why.to_string(),
                         other => format!("{other:?}").to_lowercase(),
@@ -213,7 +268,103 @@
         // It was taken in as the next one, and nothing else came between.
         let _ = self.ledger.append(self.ledger.identity, purge.clone());
         turn.effects.push(Effect::Purged(vec![purge]));
-        turn.effects.push(Effect::Answer(operator, Ok(json!({"number": number, "repeated": false}))));
+        self.answer(turn, operator, number, false);
+    }
+
+    /// Tells an operator of a purge: at once, or once all boxes have confirmed it.
+    fn answer(&mut self, turn: &mut Turn<'_>, operator: u64, number: u64, repeated: bool) {
+        let waits = self.waiters.remove(&operator);
+        match waits.filter(|_| self.boxes.is_some()) {
+            Some(until) => self.waits.push((operator, until, number)),
+            None => {
+                let answer = json!({"number": number, "repeated": repeated});
+                turn.effects.push(Effect::Answer(operator, Ok(answer)));
+            }
+        }
+        self.boxes_work(turn);
+    }
+
+    /// Sends boxes what is due, and tells operators who wait for them.
+    fn boxes_work(&mut self, turn: &mut Turn<'_>) {
+        if let Some(followers) = &mut self.followers {
+            followers.work(turn.now, &self.ledger);
+        }
+        if let Some(following) = &mut self.following {
+            following.work(turn, &self.ledger);
+        }
+        let Some((boxes, _)) = &mut self.boxes else { return };
+        boxes.work(turn, &self.ledger);
+        if let Some(number) = boxes.changed() {
+            turn.effects.push(Effect::Confirmed(number));
+        }
+        let now = turn.now;
+        self.waits.retain(|(operator, until, number)| {
+            let missing = boxes.missing(*number);
+            let done = missing.is_empty();
+            if done || now >= *until {
+                let answer = match done {
+                    true => Ok(json!({"number": number, "confirmed": "by all boxes"})),
+                    false => Err(format!("purge {number} is not confirmed by {}", missing.join(" "))),
+                };
+                turn.effects.push(Effect::Answer(*operator, answer));
+            }
+            !done && now < *until
+        });
+    }
+
+    /// Takes in what the writer sent: it counts at once, and is confirmed once it is kept.
+    fn frames(&mut self, turn: &mut Turn<'_>, frames: Vec<Frame>) {
+        for frame in frames {
+            if frame.anew {
+                // What the writer has forgotten is past the horizon; what stood in another ledger is not known there.
+                let lost = self.ledger.last() > 0;
+                tracing::warn!(kind = "anew", base = frame.base, lost, "purges: the ledger begins anew");
+                self.ledger = Ledger::after(frame.ledger, frame.base);
+                if lost {
+                    turn.effects.push(Effect::Everything(wall()));
+                }
+                self.rewrite(turn);
+                continue;
+            }
+            let mut new = Vec::new();
+            for purge in frame.purges {
+                match self.ledger.append(frame.ledger, purge.clone()) {
+                    Ok(true) => new.push(purge),
+                    Ok(false) => {}
+                    Err(refused) => {
+                        tracing::warn!(
+                            kind = "out-of-order",
+                            ?refused,
+                            number = purge.number,
+                            "purges: a bad batch"
+                        );
+                        self.following
+                            .iter_mut()
+                            .for_each(|f| f.lost(turn.now, "it sent what does not follow"));
+                        return;
+                    }
+                }
+            }
+            let last = self.ledger.last();
+            if let Some(end) = new.last().map(|p| p.number) {
+                turn.effects.push(Effect::Purged(new.clone()));
+                match self.disk.clone() {
+                    None => self.following.iter_mut().for_each(|f| f.kept(turn.now, end)),
+                    Some(disk) => {
+                        let work = move || match disk.lock() {
+                            Ok(mut disk) => journal::keep_all(&mut *disk, &new).map_err(|e| e.to_string()),
+                            Err(_) => Err("its writer has failed".into()),
+                        };
+                        if let Err(e) = self.workers.in_order(move || Done::KeptBatch(end, work())) {
+                            self.failed(turn, &e.to_string());
+                        }
+                    }
+                }
+            }
+            if frame.ledger == self.ledger.identity && frame.head == last {
+                turn.effects.push(Effect::Contact);
+            }
+        }
     }
 
     /// A write failed: what the file holds is not known until it is written anew. The purge takes effect here all the
@@ -280,6 +431,18 @@
 
 impl Driver for Purges {
     fn ready(&mut self, turn: &mut Turn<'_>, key: usize, _: bool, _: bool) {
+        if let Some((boxes, _)) = self.boxes.as_mut().filter(|(boxes, _)| boxes.has(key)) {
+            boxes.ready(turn.now, key, self.ledger.last());
+            return self.boxes_work(turn);
+        }
+        if let Some(followers) = self.followers.as_mut().filter(|f| f.has(key)) {
+            followers.ready(turn, key, &self.ledger);
+            return self.boxes_work(turn);
+        }
+        if let Some(following) = self.following.as_mut().filter(|f| f.has(key)) {
+            let frames = following.ready(turn.now);
+            return self.frames(turn, frames);
+        }
         if key != self.workers_key {
             return;
         }
@@ -292,6 +455,13 @@
                     self.go_on(turn);
                 }
                 Done::Kept(Err(why)) => self.failed(turn, &why),
+                Done::KeptBatch(number, Ok(())) => {
+                    self.following.iter_mut().for_each(|f| f.kept(turn.now, number));
+                }
+                Done::KeptBatch(_, Err(why)) => {
+                    self.following.iter_mut().for_each(|f| f.lost(turn.now, "what it sent can't be kept"));
+                    self.failed(turn, &why);
+                }
                 Done::Rewritten(Ok(())) => {
                     if self.broken.take().is_some() {
                         tracing::info!("purges: the ledger can be kept again");
@@ -308,6 +478,8 @@
     }
 
     fn due(&mut self, turn: &mut Turn<'_>) {
+        self.boxes_work(turn);
+        self.now = turn.now;
         if turn.now < self.sweep {
             return;
         }
@@ -316,15 +488,19 @@
         turn.effects.push(Effect::Horizon(horizon));
         // Nothing is being written: what is compacted or cut off can't be what waits.
         if self.keeping.is_none() {
-            let last = self.ledger.last();
-            if self.ledger.compact(last, horizon) > 0 || self.broken.is_some() {
+            let confirmed = self.boxes.as_ref().map_or(self.ledger.last(), |(boxes, _)| boxes.confirmed());
+            if self.ledger.compact(confirmed, horizon) > 0 || self.broken.is_some() {
                 self.rewrite(turn);
             }
         }
     }
 
     fn next(&self) -> Option<Time> {
-        Some(self.sweep)
+        let boxes = self.boxes.as_ref().and_then(|(boxes, _)| boxes.next(self.now, self.ledger.last()));
+        let waits = self.waits.iter().map(|(_, until, _)| *until).min();
+        let followers = self.followers.as_ref().and_then(Followers::next);
+        let following = self.following.as_ref().map(Following::next);
+        [Some(self.sweep), boxes, waits, followers, following].into_iter().flatten().min()
     }
 
     fn told(&mut self, turn: &mut Turn<'_>, effect: &Effect) {
@@ -335,6 +511,28 @@
                     turn.effects.push(Effect::Compiled(Box::new(Err(e.to_string()))));
                 }
             }
+            Effect::Members(members, whole) => {
+                if let Some((boxes, kinds)) = &mut self.boxes {
+                    let ours = members.iter().filter(|m| kinds.contains(&m.1)).map(|m| (m.0, m.2));
+                    boxes.list(turn.now, &ours.collect::<Vec<_>>(), *whole);
+                    self.boxes_work(turn);
+                }
+            }
+            Effect::Lied(id) => {
+                if let Some((boxes, _)) = &mut self.boxes {
+                    boxes.lied(turn.now, *id);
+                }
+            }
+            Effect::Word(number, word, _) if word == "purge-boxes" => {
+                let rows = self.boxes.as_ref().map(|(boxes, _)| boxes.rows());
+                let answer = rows.map(|rows| json!({"last": self.ledger.last(), "boxes": rows}));
+                turn.effects.push(Effect::Answer(*number, answer.ok_or("no box is sent purges".into())));
+            }
+            Effect::Word(number, word, _) if word == "purge" && self.following.is_some() => {
+                let at = self.settings.follow.as_ref().map_or("", |f| &f.address);
+                let why = format!("this front follows the ledger at {at}: purge at its writer");
+                turn.effects.push(Effect::Answer(*number, Err(why)));
+            }
             Effect::Word(number, word, args) if word == "purge" => {
                 let text = |name: &str| args[name].as_str().unwrap_or("").into();
                 let command = what(args).map(|what| Command {
@@ -349,6 +547,9 @@
                         turn.effects.push(Effect::Answer(*number, Err("too many wait to be kept".into())));
                     }
                     Ok(command) => {
+                        if let Some(seconds) = args["wait_s"].as_u64() {
+                            self.waiters.insert(*number, turn.now + seconds.min(120) * 1_000_000);
+                        }
                         self.waiting.push_back((*number, command));
                         self.go_on(turn);
                     }
@@ -363,7 +564,8 @@
                 };
                 let answer = json!({"last": self.ledger.last(), "held_after": self.ledger.base(),
                                     "ledger": format!("{:016x}", self.ledger.identity),
-                                    "not_kept": self.broken, "purges": rows});
+                                    "not_kept": self.broken, "followers": self.followers.as_ref().map(|f| f.state().0),
+                                    "purges": rows});
                 turn.effects.push(Effect::Answer(*number, Ok(answer)));
             }
             _ => {}
@@ -373,6 +575,7 @@
     fn words(&self) -> Vec<(&'static str, &'static str)> {
         vec![
             ("purge", "{object | group | tag | pattern, id, who, why, all}: purge these"),
+            ("purge-boxes", "how each box stands"),
             ("purges", "the ledger, latest first; {number}: one"),
         ]
     }
--- /dev/null
+++ b/front/src/program/replicas.rs
@@ -0,0 +1,279 @@
+//! The ledger between fronts: the writer's end, which serves those that follow, and a follower's, which keeps contact.
+use super::driver::Turn;
+use crate::protocol::follow::{frame, hello, read_frame, read_hello, Frame, Hello, HELLO};
+use crate::transport::{dial, listen, Outgoing, Registered, Stream};
+use cranesill::api::{Span, Time};
+use cranesill_purges::ledger::Ledger;
+use cranesill_purges::Number;
+use std::collections::HashMap;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+
+/// Followers at once; one more is closed.
+pub const FOLLOWERS_MOST: usize = 32;
+/// A follower that has not said who it is after this long, or takes nothing for this long, is closed.
+const SILENCE_MOST: Span = 5_000_000;
+/// An empty batch goes out after this long without another.
+const BEAT: Span = 500_000;
+/// Pauses between two tries of a follower: the first, and the longest.
+const RETRY_FIRST: Span = 200_000;
+const RETRY_MOST: Span = 5_000_000;
+/// Without a whole frame for this long a follower connects anew.
+const QUIET_MOST: Span = 2_500_000;
+const READ_MOST: usize = 64 * 1024;
+
+fn out(bytes: Vec<u8>) -> Outgoing<()> {
+    Outgoing { tag: (), head: bytes, body: Rc::default(), tail: b"" }
+}
+
+#[derive(Debug)]
+struct Reader {
+    stream: Stream<()>,
+    /// The last number that it has kept; `None`: it has not said who it is.
+    last: Option<Number>,
+    /// Up to where the batch goes that is out.
+    sent: Option<Number>,
+    moved: Time,
+    beat: Time,
+}
+
+/// The writer's end.
+#[derive(Debug)]
+pub struct Followers {
+    listener: Registered<TcpListener>,
+    listener_key: usize,
+    all: HashMap<usize, Reader>,
+    scratch: Vec<u8>,
+}
+
+impl Followers {
+    /// Listens.
+    pub fn new(turn: &mut Turn<'_>, at: &str) -> Result<Self, String> {
+        let failed = |e: &dyn std::fmt::Display| format!("purges.serve: {at}: {e}");
+        let address: SocketAddr = at.parse().map_err(|e: std::net::AddrParseError| failed(&e))?;
+        let listener_key = turn.key();
+        let listener = listen(address).map_err(|e| failed(&e))?;
+        let local = listener.local_addr().map_err(|e| failed(&e))?;
+        tracing::info!(at = %local, "purges: serving the ledger");
+        let listener = turn.reactor.watch(listener, listener_key, false).map_err(|e| failed(&e))?;
+        Ok(Followers { listener, listener_key, all: HashMap::new(), scratch: vec![0; READ_MOST] })
+    }
+
+    /// Whether this is one of its sources.
+    pub fn has(&self, key: usize) -> bool {
+        key == self.listener_key || self.all.contains_key(&key)
+    }
+
+    /// Followers that said who they are, and the least number that they have kept.
+    pub fn state(&self) -> (usize, Option<Number>) {
+        let known = self.all.values().filter_map(|r| r.last);
+        (known.clone().count(), known.min())
+    }
+
+    /// Goes on with one of its sources.
+    pub fn ready(&mut self, turn: &mut Turn<'_>, key: usize, ledger: &Ledger) {
+        if key == self.listener_key {
+            while let Ok((socket, _)) = self.listener.accept() {
+                if self.all.len() >= FOLLOWERS_MOST {
+                    continue;
+                }
+                let key = turn.key();
+                if let Ok(stream) = Stream::new(turn.reactor, socket, key, false) {
+                    let reader = Reader { stream, last: None, sent: None, moved: turn.now, beat: turn.now };
+                    self.all.insert(key, reader);
+                }
+            }
+            return;
+        }
+        if let Err(error) = self.read(turn.now, key, ledger) {
+            self.all.remove(&key);
+            tracing::info!(kind = "follower-lost", %error, "purges: a follower has gone");
+        }
+    }
+
+    fn read(&mut self, now: Time, key: usize, ledger: &Ledger) -> io::Result<()> {
+        let Some(reader) = self.all.get_mut(&key) else { return Ok(()) };
+        let bad = |why: &'static str| io::Error::new(io::ErrorKind::InvalidData, why);
+        reader.stream.flush(|()| {})?;
+        while let Some(n) = reader.stream.fill(&mut self.scratch)? {
+            if n == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+            reader.moved = now;
+            if reader.last.is_none() {
+                let Some(told) = read_hello(reader.stream.input()).map_err(|e| bad(e.0))? else { continue };
+                reader.stream.consume(HELLO);
+                let known =
+                    told.ledger == ledger.identity && (ledger.base()..=ledger.last()).contains(&told.last);
+                let last = if known { told.last } else { ledger.base() };
+                if !known {
+                    let (identity, base, head) = (ledger.identity, ledger.base(), ledger.last());
+                    let anew = Frame { anew: true, ledger: identity, base, head, purges: Vec::new() };
+                    reader.stream.push(out(frame(&anew)));
+                }
+                reader.last = Some(last);
+            }
+            while let Some(number) = reader.stream.input().first_chunk::<8>().map(|b| u64::from_le_bytes(*b))
+            {
+                reader.stream.consume(8);
+                // Its word for what is out, and for nothing else.
+                if reader.sent.take() != Some(number) {
+                    return Err(bad("a follower confirms what it was not sent"));
+                }
+                reader.last = Some(number);
+            }
+            if reader.stream.input().len() > HELLO {
+                return Err(bad("a follower says too much"));
+            }
+        }
+        reader.stream.rewatch(true)
+    }
+
+    /// Sends what is due.
+    pub fn work(&mut self, now: Time, ledger: &Ledger) {
+        let mut gone = Vec::new();
+        for (key, reader) in &mut self.all {
+            let waits = reader.last.is_none() || reader.sent.is_some() || !reader.stream.flushed();
+            if waits && now > reader.moved + SILENCE_MOST {
+                gone.push(*key);
+            }
+            let Some(last) = reader.last.filter(|_| reader.sent.is_none() && reader.stream.flushed()) else {
+                continue;
+            };
+            if last >= ledger.last() && now < reader.beat {
+                continue;
+            }
+            let Some(purges) = ledger.batch(last) else {
+                // It was compacted away under it: it says anew how it stands.
+                gone.push(*key);
+                continue;
+            };
+            reader.sent = purges.last().map(|p| p.number);
+            let (identity, base, head) = (ledger.identity, ledger.base(), ledger.last());
+            let batch = Frame { anew: false, ledger: identity, base, head, purges };
+            reader.stream.push(out(frame(&batch)));
+            reader.beat = now + BEAT;
+            if reader.sent.is_some() {
+                reader.moved = now;
+            }
+            if reader.stream.flush(|()| {}).and_then(|()| reader.stream.rewatch(true)).is_err() {
+                gone.push(*key);
+            }
+        }
+        gone.into_iter().for_each(|key| drop(self.all.remove(&key)));
+    }
+
+    /// The next moment at which something is due.
+    pub fn next(&self) -> Option<Time> {
+        let due = |r: &Reader| {
+            if r.last.is_some() && r.sent.is_none() {
+                r.beat
+            } else {
+                r.moved + SILENCE_MOST + 1
+            }
+        };
+        self.all.values().map(due).min()
+    }
+}
+
+/// A follower's end.
+#[derive(Debug)]
+pub struct Following {
+    address: SocketAddr,
+    link: Option<(usize, Stream<()>)>,
+    heard: Time,
+    due: Time,
+    failures: u32,
+    scratch: Vec<u8>,
+}
+
+impl Following {
+    /// Not connected yet.
+    pub fn new(now: Time, address: &str) -> Result<Self, String> {
+        let address = address.parse().map_err(|e| format!("purges.follow.address: {address}: {e}"))?;
+        Ok(Following { address, link: None, heard: now, due: now, failures: 0, scratch: vec![0; READ_MOST] })
+    }
+
+    /// Whether this is its connection.
+    pub fn has(&self, key: usize) -> bool {
+        self.link.as_ref().is_some_and(|l| l.0 == key)
+    }
+
+    /// Frames that came.
+    pub fn ready(&mut self, now: Time) -> Vec<Frame> {
+        let mut frames = Vec::new();
+        if let Err(error) = self.read(now, &mut frames) {
+            self.lost(now, &error.to_string());
+        }
+        frames
+    }
+
+    fn read(&mut self, now: Time, frames: &mut Vec<Frame>) -> io::Result<()> {
+        let Some((_, stream)) = &mut self.link else { return Ok(()) };
+        if !stream.connected()? {
+            return Ok(());
+        }
+        stream.flush(|()| {})?;
+        // One read a turn: a writer that has much to say does not keep the loop to itself.
+        if let Some(n) = stream.fill(&mut self.scratch)? {
+            if n == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+            while let Some((frame, used)) = read_frame(stream.input()).map_err(|e| io::Error::other(e.0))? {
+                stream.consume(used);
+                (self.heard, self.failures) = (now, 0);
+                frames.push(frame);
+            }
+        }
+        stream.rewatch(true)
+    }
+
+    /// What came can't be used, or nothing comes any more.
+    pub fn lost(&mut self, now: Time, why: &str) {
+        if self.link.take().is_some() || self.failures == 0 {
+            tracing::info!(kind = "writer-lost", writer = %self.address, error = why, "purges: no connection to the writer");
+        }
+        self.failures += 1;
+        self.due = now + (RETRY_FIRST << (self.failures - 1).min(8)).min(RETRY_MOST);
+    }
+
+    /// Everything up to a number is kept.
+    pub fn kept(&mut self, now: Time, number: Number) {
+        if let Some((_, stream)) = &mut self.link {
+            stream.push(out(number.to_le_bytes().to_vec()));
+            if let Err(error) = stream.flush(|()| {}).and_then(|()| stream.rewatch(true)) {
+                self.lost(now, &error.to_string());
+            }
+        }
+    }
+
+    /// Connects where that is due.
+    pub fn work(&mut self, turn: &mut Turn<'_>, ledger: &Ledger) {
+        let now = turn.now;
+        if self.link.is_some() && now > self.heard + QUIET_MOST {
+            self.lost(now, "it says nothing");
+        }
+        if self.link.is_some() || now < self.due {
+            return;
+        }
+        let key = turn.key();
+        match dial(self.address).and_then(|socket| Stream::new(turn.reactor, socket, key, true)) {
+            Ok(mut stream) => {
+                stream.push(out(hello(Hello { ledger: ledger.identity, last: ledger.last() })));
+                self.heard = now;
+                self.link = Some((key, stream));
+            }
+            Err(error) => self.lost(now, &error.to_string()),
+        }
+    }
+
+    /// The next moment at which something is due.
+    pub fn next(&self) -> Time {
+        if self.link.is_some() {
+            self.heard + QUIET_MOST + 1
+        } else {
+            self.due
+        }
+    }
+}
--- a/front/src/program/serve.rs
+++ b/front/src/program/serve.rs
@@ -12,8 +12,10 @@
 use crate::protocol::feed::{Listing, News};
 use crate::routing::{Answer, AttemptId, Command, End, Floors, Front, Wake};
 use crate::transport::{listen, Clock, Deadlines, Reactor, Registered};
-use cranesill::api::{Entry, MemberId, Span, Time};
-use cranesill_daemon::{changes, Daemon, Level};
+use cranesill::api::{Entry, Listed, MemberId, Span, Time};
+use cranesill_daemon::{changes, Daemon, Level, WithoutContact};
+use cranesill_purges::contact::{Contact, Without};
+use cranesill_purges::shield::Shield;
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::io;
@@ -133,8 +135,9 @@
         if let Some(certs) = daemon.certs {
             self.start(now, |turn| Ok(Box::new(Certs::new(turn, &certs, &name)?)))?;
         }
+        let kinds = self.config.deployment.names.kinds.clone();
         if let Some(purges) = daemon.purges {
-            self.start(now, |turn| Ok(Box::new(Purges::new(turn, &purges)?)))?;
+            self.start(now, |turn| Ok(Box::new(Purges::new(turn, &purges, &kinds)?)))?;
         }
         if let Some(control) = daemon.control {
             let words = self.drivers.iter().flat_map(|(driver, _)| driver.words());
@@ -175,7 +178,15 @@
                     Effect::Floors(settings, all) => {
                         let mut floors = Floors::new(settings.index_bytes, settings.skew_ms);
                         all.into_iter().for_each(|at| floors.add_all(at));
+                        floors.contact = settings.follow.map(|follow| {
+                            let without = match follow.without_contact {
+                                WithoutContact::Strict => Without::Strict,
+                                WithoutContact::Available => Without::Available,
+                            };
+                            Contact::lost(now, now / 1_000, follow.lease_ms * 1_000, without)
+                        });
                         self.front.floors = Some(floors);
+                        self.front.shield = settings.shield_per_s.map(|n| Shield::new(now, n.into()));
                     }
                     Effect::Purged(purges) => {
                         if let Some(floors) = &mut self.front.floors {
@@ -183,6 +194,18 @@
                             self.effects.extend(floors.job().map(Effect::Compile));
                         }
                     }
+                    Effect::Everything(at) => {
+                        self.front.floors.iter_mut().for_each(|floors| floors.add_all(at));
+                    }
+                    Effect::Contact => {
+                        let contact = self.front.floors.as_mut().and_then(|f| f.contact.as_mut());
+                        if contact.is_some_and(|contact| contact.heard(now, now / 1_000)) {
+                            tracing::info!("purges: contact with the ledger again");
+                        }
+                    }
+                    Effect::Confirmed(number) => {
+                        self.front.floors.iter_mut().for_each(|floors| floors.confirmed = number);
+                    }
                     Effect::Horizon(horizon) => {
                         self.front.floors.iter_mut().for_each(|floors| floors.expire(horizon));
                     }
@@ -251,7 +274,10 @@
                 "clients_most": self.config.clients_most(), "held_bytes": self.clients.held() + self.members.held(),
                 "held_bytes_most": self.config.held_most(), "settings": self.daemon_file,
                 "purges": self.front.floors.as_ref().map(|f| json!({
-                    "live_objects_groups_tags_patterns": f.counts(), "answers_refused": f.refused, "lies": f.lies})),
+                    "live_objects_groups_tags_patterns": f.counts(), "answers_refused": f.refused, "lies": f.lies,
+                    "shield_passed": self.front.shield.as_ref().map(|s| s.passed),
+                    "shield_refused": self.front.shield.as_ref().map(|s| s.refused),
+                    "answers_in_doubt": f.contact.as_ref().map(|c| c.doubtful)})),
             })),
         }
     }
@@ -344,6 +370,10 @@
             Due::Sweep => {
                 let gone = self.clients.sweep(now, self.config.room().bytes, self.config.held_most());
                 self.log.sweep();
+                let contact = self.front.floors.as_mut().and_then(|f| f.contact.as_mut());
+                if contact.is_some_and(|contact| contact.lost_now(now)) {
+                    tracing::warn!(kind = "contact-lost", "purges: no contact with the ledger");
+                }
                 self.hear(now, gone);
                 self.members.sweep(now, &mut ends);
                 self.listen(true);
@@ -480,6 +510,12 @@
                     self.members.keep_only(&ids);
                 }
                 entries.iter().zip(&list).for_each(|(entry, l)| self.members.list(entry, l.address));
+                if !self.drivers.is_empty() {
+                    let here = |l: &Listing| Some(l.address).filter(|_| l.state != Listed::Gone);
+                    let told = |l: &Listing| (u64::from(l.id), l.kind, here(l));
+                    self.effects.push(Effect::Members(list.iter().map(told).collect(), whole));
+                    self.effects(now);
+                }
                 self.front.members(now, whole, entries);
             }
             News::Purge { object, group, at_ms } => {
@@ -518,6 +554,7 @@
                 }
                 Command::Answer(to, answer) => self.clients.answer(now, to, answer),
                 Command::Wake(at, wake) => self.deadlines.add(at, Due::Wake(wake)),
+                Command::Lied(member) => self.effects.push(Effect::Lied(member.0)),
                 Command::Log(text) => tracing::info!(kind = "decision", text, "decision"),
             }
         }
--- /dev/null
+++ b/front/src/protocol/follow.rs
@@ -0,0 +1,143 @@
+//! Between a ledger's writer and those that follow it (our own protocol; numbers are little-endian).
+//!
+//! ```text
+//! follower   "CRFOLLOW" version:2 ledger:8 last:8       once; then last:8 after each batch that it has kept
+//! writer     kind:1 ledger:8 base:8 head:8 size:4 body  kind 0 a batch: records as in the ledger's file, size bytes of them
+//!                                                       kind 1 begin anew behind `base`: what was before is not known
+//! ```
+//!
+//! One batch is out at a time: a follower that is slow is waited for. An empty batch each second is a sign of life, and
+//! `head` tells whether the follower has all.
+use super::{Cursor, Unreadable};
+use cranesill_purges::journal::{self, Found};
+use cranesill_purges::ledger::BATCH_MOST;
+use cranesill_purges::{Number, Purge};
+
+const MAGIC: &[u8; 8] = b"CRFOLLOW";
+const VERSION: u16 = 1;
+pub const HELLO: usize = 26;
+/// Bytes of a batch's body.
+const BODY_MOST: usize = BATCH_MOST * 2_100;
+const HEAD: usize = 29;
+
+/// What a follower says first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Hello {
+    /// The ledger that it follows; 0: none yet.
+    pub ledger: u64,
+    /// The last number that it has kept.
+    pub last: Number,
+}
+
+/// What a writer sends.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Frame {
+    /// The follower has to begin anew behind `base`.
+    pub anew: bool,
+    /// Which ledger this is.
+    pub ledger: u64,
+    /// The number before the first that is held.
+    pub base: Number,
+    /// The last number that there is.
+    pub head: Number,
+    /// What follows the last number that the follower told.
+    pub purges: Vec<Purge>,
+}
+
+fn little(cursor: &mut Cursor<'_>) -> Option<u64> {
+    cursor.array().map(u64::from_le_bytes)
+}
+
+/// The bytes of a follower's first word.
+pub fn hello(hello: Hello) -> Vec<u8> {
+    [&MAGIC[..], &VERSION.to_le_bytes(), &hello.ledger.to_le_bytes(), &hello.last.to_le_bytes()].concat()
+}
+
+/// Reads a follower's first word. `None`: it is not whole yet.
+pub fn read_hello(input: &[u8]) -> Result<Option<Hello>, Unreadable> {
+    let known = input.len().min(MAGIC.len());
+    if input[..known] != MAGIC[..known] {
+        return Err(Unreadable("no follower"));
+    }
+    let Some(bytes) = input.get(..HELLO) else { return Ok(None) };
+    let mut cursor = Cursor(&bytes[MAGIC.len()..]);
+    let version = cursor.array().map(u16::from_le_bytes);
+    if version != Some(VERSION) {
+        return Err(Unreadable("a follower of another version"));
+    }
+    Ok(little(&mut cursor).zip(little(&mut cursor)).map(|(ledger, last)| Hello { ledger, last }))
+}
+
+/// The bytes of a frame.
+pub fn frame(frame: &Frame) -> Vec<u8> {
+    let body: Vec<u8> = frame.purges.iter().flat_map(journal::record).collect();
+    let mut bytes = vec![u8::from(frame.anew)];
+    for number in [frame.ledger, frame.base, frame.head] {
+        bytes.extend(number.to_le_bytes());
+    }
+    bytes.extend((body.len() as u32).to_le_bytes());
+    bytes.extend(body);
+    bytes
+}
+
+/// Takes the first frame off `input`, with its length in bytes. `None`: it is not whole yet.
+pub fn read_frame(input: &[u8]) -> Result<Option<(Frame, usize)>, Unreadable> {
+    let mut cursor = Cursor(input);
+    let Some(kind) = cursor.u8() else { return Ok(None) };
+    if kind > 1 {
+        return Err(Unreadable("an unknown kind of frame"));
+    }
+    let numbers = little(&mut cursor).zip(little(&mut cursor)).zip(little(&mut cursor));
+    let Some((((ledger, base), head), size)) = numbers.zip(cursor.array().map(u32::from_le_bytes)) else {
+        return Ok(None);
+    };
+    let size = size as usize;
+    if size > BODY_MOST {
+        return Err(Unreadable("a batch that is too long"));
+    }
+    let Some(mut body) = cursor.bytes(size) else { return Ok(None) };
+    let mut purges = Vec::new();
+    while !body.is_empty() {
+        let Found::Record(purge, used) = journal::decode(body) else {
+            return Err(Unreadable("a batch that is not as it was written"));
+        };
+        purges.push(purge);
+        body = &body[used..];
+    }
+    Ok(Some((Frame { anew: kind == 1, ledger, base, head, purges }, HEAD + size)))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use cranesill_purges::What;
+
+    #[test]
+    fn words_are_the_same_however_they_are_cut_and_odd_ones_are_refused() {
+        let told = Hello { ledger: 7, last: 9 };
+        let bytes = hello(told);
+        (0..HELLO).for_each(|cut| assert_eq!(read_hello(&bytes[..cut]).unwrap(), None));
+        assert_eq!(read_hello(&bytes).unwrap(), Some(told));
+        assert!(read_hello(b"GET /").is_err());
+        let what = What::Pattern("a/*".into());
+        let purge = Purge { number: 10, at: 5, what, id: "a".into(), who: "b".into(), why: "c".into() };
+        let sent = Frame { anew: false, ledger: 7, base: 2, head: 10, purges: vec![purge.clone(), purge] };
+        let bytes = frame(&sent);
+        (0..bytes.len()).for_each(|cut| assert_eq!(read_frame(&bytes[..cut]).unwrap(), None, "cut at {cut}"));
+        assert_eq!(read_frame(&bytes).unwrap(), Some((sent, bytes.len())));
+        let mut dice = 3u64;
+        for _ in 0..30_000 {
+            let mut odd = bytes.clone();
+            for _ in 0..3 {
+                dice = dice.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+                let at = (dice >> 33) as usize % odd.len();
+                odd[at] = (dice >> 20) as u8;
+            }
+            assert!(read_frame(&odd).ok().flatten().is_none_or(|f| f.1 <= odd.len()));
+            let _ = read_hello(&odd);
+        }
+        let mut long = bytes;
+        long[25..29].copy_from_slice(&u32::MAX.to_le_bytes());
+        assert!(read_frame(&long).is_err());
+    }
+}
--- a/front/src/protocol/member.rs
+++ b/front/src/protocol/member.rs
@@ -15,7 +15,7 @@
     format!("s-{:08x}", member.0)
 }
 
-fn strings(parts: &[&[u8]]) -> Vec<u8> {
+pub(super) fn strings(parts: &[&[u8]]) -> Vec<u8> {
     let mut out = Vec::with_capacity(256);
     for part in parts {
         out.extend(format!("${}\r\n", part.len()).bytes());
@@ -86,8 +86,11 @@
 /// An answer, the id that it is for, and its length in bytes.
 type Decoded<'a> = (&'a [u8], MemberReply, usize);
 
-/// Takes the first answer off `input`. `None`: it is not whole yet.
-pub fn decode(input: &[u8]) -> Result<Option<Decoded<'_>>, Unreadable> {
+/// The four strings of an answer, and its length in bytes.
+type Parts<'a> = ([&'a [u8]; 4], usize);
+
+/// The four strings of the first answer, and its length in bytes. `None`: it is not whole yet.
+pub fn parts(input: &[u8]) -> Result<Option<Parts<'_>>, Unreadable> {
     let Some((count, mut at)) = length(input, 0, b'*', STRINGS_MOST.len())? else { return Ok(None) };
     if count != STRINGS_MOST.len() {
         return Err(Unreadable("no answer of four strings"));
@@ -100,6 +103,12 @@
         *part = string;
         at = begin + n + 2;
     }
+    Ok(Some((parts, at)))
+}
+
+/// Takes the first answer off `input`. `None`: it is not whole yet.
+pub fn decode(input: &[u8]) -> Result<Option<Decoded<'_>>, Unreadable> {
+    let Some((parts, at)) = parts(input)? else { return Ok(None) };
     let [id, word, fields, body] = parts;
     let word = match word {
         b"HIT" => Word::Hit,
--- a/front/src/protocol/mod.rs
+++ b/front/src/protocol/mod.rs
@@ -1,8 +1,10 @@
 //! Codecs of the wires. No input or output here: bytes in, messages out, and back.
 pub mod client;
 pub mod feed;
+pub mod follow;
 pub mod known;
 pub mod member;
+pub mod purge;
 
 /// Why a stream of bytes can't be read any further.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- /dev/null
+++ b/front/src/protocol/purge.rs
@@ -0,0 +1,72 @@
+//! Purges to boxes and their word for it (`docs/protocol.md`): in the members' form, on connections of their own.
+use super::member::{parts, strings};
+use super::Unreadable;
+use crate::transport::Outgoing;
+use cranesill_purges::{journal, Number, Purge};
+use std::rc::Rc;
+
+/// A batch for a box: purges after one number up to another, of one ledger. An empty one asks how the box stands.
+pub fn batch(id: u64, ledger: u64, after: Number, upto: Number, purges: &[Purge]) -> Outgoing<()> {
+    let fields = format!("ledger={ledger:016x},after={after},upto={upto}");
+    let body: Vec<u8> = purges.iter().flat_map(journal::record).collect();
+    let mut head = b"*4\r\n".to_vec();
+    head.extend(strings(&[b"purge", format!("{id:016x}").as_bytes(), fields.as_bytes(), &body]));
+    Outgoing { tag: (), head, body: Rc::default(), tail: b"" }
+}
+
+/// What a box says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Word {
+    /// Of the command that it answers.
+    pub id: u64,
+    /// Of the ledger.
+    pub ledger: u64,
+    /// Everything up to this number is carried out.
+    pub upto: Number,
+    /// It holds no copy.
+    pub empty: bool,
+}
+
+/// Takes the first word off `input`, with its length in bytes. `None`: it is not whole yet.
+pub fn decode(input: &[u8]) -> Result<Option<(Word, usize)>, Unreadable> {
+    let Some(([id, word, fields, _], used)) = parts(input)? else { return Ok(None) };
+    let text = |bytes| std::str::from_utf8(bytes).map_err(|_| Unreadable("no text"));
+    if word != b"DONE" {
+        return Err(Unreadable("a box that does not speak of purges"));
+    }
+    let id = super::hex16(text(id)?).ok_or(Unreadable("no id"))?;
+    let mut found = Word { id, ledger: 0, upto: 0, empty: false };
+    for (name, value) in text(fields)?.split(',').filter_map(|f| f.split_once('=')) {
+        match name {
+            "ledger" => found.ledger = super::hex16(value).ok_or(Unreadable("no ledger"))?,
+            "upto" => found.upto = value.parse().map_err(|_| Unreadable("no number"))?,
+            "empty" => found.empty = value == "1",
+            _ => {}
+        }
+    }
+    Ok(Some((found, used)))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use cranesill_purges::What;
+
+    #[test]
+    fn a_batch_is_written_as_members_read_and_a_word_is_read_once_it_is_whole() {
+        let what = What::Tag("vitara".into());
+        let purge = Purge { number: 8, at: 5, what, id: "a".into(), who: "b".into(), why: "c".into() };
+        let out = batch(7, 0xfeed, 7, 8, std::slice::from_ref(&purge));
+        let text = out.head.escape_ascii().to_string();
+        assert!(text.starts_with("*4\\r\\n$5\\r\\npurge\\r\\n$16\\r\\n0000000000000007"), "{text}");
+        assert!(text.contains("ledger=000000000000feed,after=7,upto=8"), "{text}");
+        let word = b"*4\r\n$16\r\n0000000000000007\r\n$4\r\nDONE\r\n$30\r\nledger=000000000000feed,upto=8\r\n$0\r\n\r\n";
+        for cut in 0..word.len() {
+            assert!(decode(&word[..cut]).unwrap_or(None).is_none(), "cut at {cut}");
+        }
+        let (found, used) = decode(word).unwrap().unwrap();
+        assert_eq!((found, used), (Word { id: 7, ledger: 0xfeed, upto: 8, empty: false }, word.len()));
+        let fault = b"*4\r\n$16\r\n0000000000000007\r\n$5\r\nFAULT\r\n$1\r\n-\r\n$0\r\n\r\n";
+        assert!(decode(fault).is_err());
+    }
+}
--- a/front/src/routing/book.rs
+++ b/front/src/routing/book.rs
@@ -6,8 +6,16 @@
     /// Books the end of an attempt; a second end of the same one is passed over.
     pub fn ended(&mut self, now: Time, attempt: AttemptId, end: End) {
         let Some(out) = self.out.remove(&attempt) else { return };
+        if let Some(key) = out.past {
+            if let Some(count) = self.past.get_mut(&key) {
+                *count -= 1;
+                if *count == 0 {
+                    self.past.remove(&key);
+                }
+            }
+        }
         let id = attempt.request;
-        let end = self.judged(id, end);
+        let end = self.judged(now, id, out.to, end);
         let (status, note, waited, meter) = match &end {
             End::Reply(reply) => (status(reply), reply.note, reply.waited, &reply.meter[..]),
             // Not written whole: the member can't have run it.
@@ -44,13 +52,15 @@
     }
 
     /// An answer from a copy that is older than a purge is none, whatever the member says.
-    fn judged(&mut self, id: RequestId, end: End) -> End {
+    fn judged(&mut self, now: Time, id: RequestId, from: MemberId, end: End) -> End {
         let open = self.open.get(&id).filter(|open| !open.write);
         let (End::Reply(reply), Some((floors, open))) = (&end, self.floors.as_mut().zip(open)) else {
             return end;
         };
-        if floors.judge(&open.ask, reply) {
-            return end;
+        match floors.judge(now, &open.ask, reply) {
+            Judged::Good => return end,
+            Judged::Lie => self.commands.push_back(Command::Lied(from)),
+            Judged::Old => {}
         }
         End::Reply(MemberReply { word: Word::Fault, ..reply.clone() })
     }
--- a/front/src/routing/floors.rs
+++ b/front/src/routing/floors.rs
@@ -2,12 +2,36 @@
 //! They are asked when an attempt is sent and again when its answer comes: purges come while requests wait.
 use super::{Ask, MemberReply, Word};
 use cranesill::api::{Span, Time};
+use cranesill_purges::contact::Contact;
 use cranesill_purges::matching::{tag_mark, Index, Matcher, Set};
-use cranesill_purges::{key, Ms, Purge, What};
+use cranesill_purges::{key, Ms, Number, Purge, What};
+use std::collections::HashMap;
 
 /// Tags that one answer may name.
 const TAGS_MOST: usize = 16;
 const MS: Span = 1_000;
+/// Objects and parts under a floor of which it is remembered that they were renewed, in each of two generations.
+const RENEWED_MOST: usize = 32_768;
+
+/// What an answer is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Judged {
+    /// It may be passed on.
+    Good,
+    /// It is from before a purge that was not known to concern it.
+    Old,
+    /// It is from before a purge that was known to concern it.
+    Lie,
+}
+
+/// What purges ask of a copy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Need {
+    /// The oldest that will do, as an age.
+    pub oldest: Span,
+    /// One that is new enough was seen already: caches need not go past themselves.
+    pub renewed: bool,
+}
 
 /// What this front knows of purges.
 #[derive(Debug)]
@@ -16,6 +40,14 @@
     index: Index,
     /// By so many milliseconds the clocks of those who date copies may be ahead.
     skew: Ms,
+    /// Everything up to this number is carried out by all boxes: members are not asked for it any more, but their
+    /// answers are judged by it.
+    pub confirmed: Number,
+    /// When the copies were given out that were seen lately of objects and parts under a floor, in two generations.
+    renewed: HashMap<(u64, u32), Time>,
+    renewed_before: HashMap<(u64, u32), Time>,
+    /// With the writer of the ledger, where this front follows one.
+    pub contact: Option<Contact>,
     /// Answers that were refused for their age, and of them those that were asked for better.
     pub refused: u64,
     pub lies: u64,
@@ -24,7 +56,17 @@
 impl Floors {
     /// No purge is known; `index_bytes` are for tags of objects.
     pub fn new(index_bytes: usize, skew: Ms) -> Self {
-        Floors { matcher: Matcher::default(), index: Index::new(index_bytes), skew, refused: 0, lies: 0 }
+        Floors {
+            renewed: HashMap::new(),
+            renewed_before: HashMap::new(),
+            matcher: Matcher::default(),
+            index: Index::new(index_bytes),
+            skew,
+            confirmed: 0,
+            contact: None,
+            refused: 0,
+            lies: 0,
+        }
     }
 
     /// Takes a purge in.
@@ -34,7 +76,7 @@
 
     /// Everything may have been purged up to a moment.
     pub fn add_all(&mut self, at: Ms) {
-        self.matcher.add_all(at.saturating_add(self.skew), 0);
+        self.matcher.add_all(at.saturating_add(self.skew));
     }
 
     /// Forgets purges of which no member holds an old copy any more.
@@ -71,59 +113,64 @@
         }
     }
 
-    fn floor(&self, ask: &Ask, tags: Option<&[u64]>) -> Time {
+    fn floor(&self, now: Time, after: Number, ask: &Ask, tags: Option<&[u64]>) -> Time {
+        let Some(item) = &ask.item else { return 0 };
+        let contact = self.contact.as_ref().map_or(0, |c| c.floor(now, now / MS));
+        let contact = if contact > 0 { contact.saturating_add(self.skew) } else { 0 };
         if self.matcher.is_empty() {
-            return 0;
+            return contact.saturating_mul(MS);
         }
-        let Some(item) = &ask.item else { return 0 };
         let key = key(&ask.class, item.id, ask.part);
-        self.matcher.floor(0, item.id, ask.group, tags, &key).saturating_mul(MS)
+        self.matcher.floor(after, item.id, ask.group, tags, &key).max(contact).saturating_mul(MS)
     }
 
-    /// The oldest copy that will do, as an age, where purges have a say: the lesser of `oldest` (0: as the class has
-    /// it) and the floor.
-    pub fn oldest(&self, now: Time, ask: &Ask, oldest: Span) -> Span {
-        let tags = ask.item.as_ref().and_then(|item| self.index.tags(item.id));
-        match self.floor(ask, tags) {
-            0 => oldest,
-            floor => {
-                // 0 would ask for the class's own, so the least is a millisecond.
-                let age = now.saturating_sub(floor).max(MS);
-                if oldest > 0 {
-                    age.min(oldest)
-                } else {
-                    age
-                }
-            }
-        }
+    /// What purges ask of the copy that answers a request; `None`: nothing beyond `oldest`, the age that will do (0:
+    /// as the class has it).
+    pub fn need(&self, now: Time, ask: &Ask, oldest: Span) -> Option<Need> {
+        let item = ask.item.as_ref()?;
+        let floor = self.floor(now, self.confirmed, ask, self.index.tags(item.id));
+        // 0 would ask for the class's own, so the least is a millisecond.
+        let age = Some(now.saturating_sub(floor).max(MS))
+            .filter(|age| floor > 0 && (oldest == 0 || *age < oldest))?;
+        let key = (item.id, ask.part);
+        let born = self.renewed.get(&key).or_else(|| self.renewed_before.get(&key));
+        Some(Need { oldest: age, renewed: born.is_some_and(|born| *born >= floor) })
     }
 
     /// Judges an answer that a member says is good, by the tags that it names itself: an older version may carry others
-    /// than those that are known. One that names none is unknown. `false`: it is from before a purge.
-    pub fn judge(&mut self, ask: &Ask, reply: &MemberReply) -> bool {
+    /// than those that are known. One that names none is unknown.
+    pub fn judge(&mut self, now: Time, ask: &Ask, reply: &MemberReply) -> Judged {
         if !matches!(reply.word, Word::Hit | Word::Valid) {
-            return true;
+            return Judged::Good;
         }
-        let Some(item) = &ask.item else { return true };
+        let Some(item) = &ask.item else { return Judged::Good };
         let names: Option<Vec<&str>> =
             reply.tags.as_ref().map(|t| t.split(';').filter(|t| !t.is_empty()).take(TAGS_MOST + 1).collect());
         // One with too many is unknown.
         let names = names.filter(|names| names.len() <= TAGS_MOST);
         let marks: Option<Vec<u64>> = names.as_ref().map(|names| names.iter().map(|t| tag_mark(t)).collect());
-        let floor = self.floor(ask, marks.as_deref());
+        let floor = self.floor(now, 0, ask, marks.as_deref());
         let born = reply.born.unwrap_or(0).saturating_mul(MS);
         if floor > 0 && born < floor {
             self.refused += 1;
-            let asked = self.floor(ask, self.index.tags(item.id));
-            if born < asked {
+            let known = self.floor(now, 0, ask, self.index.tags(item.id));
+            if born < known {
                 self.lies += 1;
+                return Judged::Lie;
             } else {
                 // It kept to what it was asked: the question was too mild.
                 self.index.forget(item.id);
             }
-            return false;
+            return Judged::Old;
         }
         self.index.learn(item.id, names.as_deref());
-        true
+        if floor > 0 {
+            if self.renewed.len() >= RENEWED_MOST {
+                self.renewed_before = std::mem::take(&mut self.renewed);
+            }
+            self.renewed.insert((item.id, ask.part), born);
+        }
+        self.contact.iter_mut().for_each(|contact| contact.answered(now));
+        Judged::Good
     }
 }
--- a/front/src/routing/mod.rs
+++ b/front/src/routing/mod.rs
@@ -12,11 +12,12 @@
 mod tests;
 mod types;
 
-pub use floors::Floors;
+pub use floors::{Floors, Judged, Need};
 pub use types::*;
 
 use cranesill::api::{Action, MemberId, RequestId, Span, Time};
 use cranesill::Router;
+use cranesill_purges::shield::Shield;
 use cranesill_settings::Deployment;
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
@@ -37,6 +38,9 @@
 #[derive(Debug)]
 struct Out {
     sent: Time,
+    to: MemberId,
+    /// What it fetches past the caches, since purges ask for newer than they have.
+    past: Option<(u64, u32)>,
 }
 
 /// Limits of one front beyond those of the settings.
@@ -72,6 +76,10 @@
     commands: VecDeque<Command>,
     /// Where the daemon's own purges are on.
     pub floors: Option<Floors>,
+    /// Bounds what purges send past the caches.
+    pub shield: Option<Shield>,
+    /// Objects and parts that are fetched past the caches now, and by how many attempts.
+    past: HashMap<(u64, u32), u32>,
 }
 
 impl Front {
@@ -91,6 +99,8 @@
             actions: Vec::new(),
             commands: VecDeque::new(),
             floors: None,
+            shield: None,
+            past: HashMap::new(),
         }
     }
 
--- a/front/src/routing/send.rs
+++ b/front/src/routing/send.rs
@@ -14,11 +14,7 @@
         fill: Option<Fill>,
     ) {
         // The decisions learn of a final answer before they decide again, so the request is open here.
-        let Some(open) = self.open.get_mut(&request) else { return };
-        let attempt = AttemptId { request, number: open.sent };
-        open.sent += 1;
-        self.out.insert(attempt, Out { sent: now });
-        let deadline = until.map_or(open.deadline, |until| until.min(open.deadline));
+        let Some(open) = self.open.get(&request) else { return };
         let mut fill = fill.map(|fill| Source {
             source: Some(fill.source).filter(|s| *s != target),
             rank: fill.rank,
@@ -28,15 +24,34 @@
             renew: fill.renew,
         });
         // As of now, not as of when it was taken in: purges come while requests wait.
+        let mut past = None;
         if let Some(floors) = self.floors.as_ref().filter(|_| !open.write) {
-            let told = fill.map_or(0, |f| f.oldest);
-            let oldest = floors.oldest(now, &open.ask, told);
-            if oldest != told {
+            if let Some(Need { oldest, renewed }) = floors.need(now, &open.ask, fill.map_or(0, |f| f.oldest))
+            {
                 let bare =
                     Source { source: None, rank: 0, oldest, join: false, only_held: false, renew: false };
-                fill = Some(fill.map_or(bare, |fill| Source { oldest, ..fill }));
+                let joins = self.deployment.settings.joins;
+                fill = Some(fill.map_or(bare, |fill| Source { oldest, join: joins, ..fill }));
+                let fetches = !renewed && fill.is_some_and(|fill| fill.source.is_some());
+                past = open.ask.item.as_ref().filter(|_| fetches).map(|item| (item.id, open.ask.part));
+            }
+        }
+        if let Some(key) = past {
+            // One that is fetched already is joined, and costs nothing more.
+            if !self.past.contains_key(&key) {
+                let class = open.ask.class.clone();
+                if let Some(wait) = self.shielded(now, &class) {
+                    self.conclude(request, Answer::Refused(wait));
+                    return self.tell(now, cranesill::api::Event::Gone(request));
+                }
             }
+            *self.past.entry(key).or_default() += 1;
         }
+        let Some(open) = self.open.get_mut(&request) else { return };
+        let attempt = AttemptId { request, number: open.sent };
+        open.sent += 1;
+        self.out.insert(attempt, Out { sent: now, to: target, past });
+        let deadline = until.map_or(open.deadline, |until| until.min(open.deadline));
         let fetch = Fetch {
             txn: open.ask.txn,
             class: open.ask.class.as_str().into(),
@@ -52,6 +67,17 @@
         self.commands.push_back(Command::Send(attempt, target, fetch));
     }
 
+    /// Whether a request has to stay away from the main store for now, and for how long: what is worth most comes first.
+    fn shielded(&mut self, now: Time, class: &str) -> Option<Span> {
+        let classes = &self.deployment.settings.classes;
+        let at = self.deployment.names.classes.iter().position(|name| name == class)?;
+        let most = classes.iter().map(|c| c.worth).fold(0.0, f64::max).max(f64::MIN_POSITIVE);
+        let worth = classes.get(at)?.worth / most;
+        let later = self.later();
+        let shield = self.shield.as_mut()?;
+        (!shield.may(now, worth)).then(|| shield.wait(worth).min(later))
+    }
+
     /// Calls an attempt off, if it is still out; its end is booked as soon as that is done.
     pub(super) fn call_off(&mut self, attempt: AttemptId) {
         if self.out.contains_key(&attempt) {
--- a/front/src/routing/tests.rs
+++ b/front/src/routing/tests.rs
@@ -102,3 +102,52 @@
     front.ended(2 * S, attempt, End::CalledOff);
     assert!(commands(&mut front).is_empty());
 }
+
+#[test]
+fn after_a_purge_of_everything_fetches_past_the_caches_are_bounded_and_joined_ones_cost_nothing() {
+    use cranesill_purges::{shield::Shield, Purge, What};
+    let mut front = front(Room { open: 10_000, bytes: 1 << 30 });
+    let state = cranesill::api::Listed::Ready;
+    let entry = |id, kind, zone| {
+        let (member, weight) = (MemberId(id), 8.0);
+        cranesill::api::Entry { member, kind, zone, cell: 0, weight, started: 0, state }
+    };
+    front.members(S, true, vec![entry(1, 0, 1), entry(2, 0, 1), entry(0x31, 2, 0)]);
+    let mut floors = Floors::new(1 << 16, 0);
+    floors.add(&Purge {
+        number: 1,
+        at: S / 1_000,
+        what: What::Group(3),
+        id: "a".into(),
+        who: "".into(),
+        why: "".into(),
+    });
+    front.floors = Some(floors);
+    front.shield = Some(Shield::new(S, 20.0));
+    let (mut sent, mut refused) = (0, 0);
+    for n in 1..=200u64 {
+        let (from, mut ask) = ask(n);
+        let id = n % 100;
+        ask.class = "page-bits".into();
+        ask.group = 3;
+        ask.item = Some(Item { text: format!("{id:016x}").into(), id });
+        front.take_in(2 * S, from, ask);
+        for command in std::iter::from_fn(|| front.command()) {
+            match command {
+                Command::Send(_, _, fetch) => {
+                    let fill = fetch.fill.unwrap();
+                    assert!((1_000..=S).contains(&fill.oldest), "nothing from before the purge: {fill:?}");
+                    sent += usize::from(fill.source.is_some());
+                }
+                Command::Answer(_, Answer::Refused(later)) => {
+                    assert!(later > 0, "it is told when to come back");
+                    refused += 1;
+                }
+                Command::Answer(_, answer) => panic!("{answer:?}"),
+                _ => {}
+            }
+        }
+    }
+    // Twenty objects at most, and a second ask for one of these joins the first; others wait for room at a cache.
+    assert!(refused >= 20 && (1..=40).contains(&sent), "{sent} sent, {refused} refused");
+}
--- a/front/src/routing/types.rs
+++ b/front/src/routing/types.rs
@@ -172,6 +172,8 @@
     Answer(ReplyTo, Answer),
     /// Call `wake` at this moment.
     Wake(Time, Wake),
+    /// A member served a copy that is older than it was asked for.
+    Lied(MemberId),
     /// Write a line to the log.
     Log(String),
 }
--- a/purges/src/journal.rs
+++ b/purges/src/journal.rs
@@ -197,6 +197,13 @@
     file.sync()
 }
 
+/// Keeps several, with one sync.
+pub fn keep_all(file: &mut dyn File, purges: &[Purge]) -> io::Result<()> {
+    let bytes: Vec<u8> = purges.iter().flat_map(record).collect();
+    file.append(&bytes)?;
+    file.sync()
+}
+
 /// Writes a ledger anew: for a first start, after compaction, or to cut off what a kill left behind.
 pub fn rewrite(file: &mut dyn File, ledger: &Ledger) -> io::Result<()> {
     let mut bytes = head(ledger);
--- a/purges/src/matching.rs
+++ b/purges/src/matching.rs
@@ -163,7 +163,9 @@
 impl Matcher {
     /// Takes a purge in; `skew`: milliseconds by which the clocks of those who date copies may be ahead.
     pub fn add(&mut self, purge: &Purge, skew: Ms) {
-        let mark = Mark { at: purge.at.saturating_add(skew), number: purge.number };
+        // One without a number is in no ledger: no box ever confirms it.
+        let number = if purge.number == 0 { Number::MAX } else { purge.number };
+        let mark = Mark { at: purge.at.saturating_add(skew), number };
         match &purge.what {
             What::Object(object) => raise(&mut self.objects, *object, mark),
             What::Group(group) => raise(&mut self.groups, *group, mark),
@@ -188,9 +190,10 @@
         }
     }
 
-    /// Everything was purged at `at`, as far as is known: what a front says that has lost its memory.
-    pub fn add_all(&mut self, at: Ms, number: Number) {
-        self.all = Mark { at, number }.max(self.all);
+    /// Everything was purged at `at`, as far as is known: what a front says that has lost its memory. No box ever
+    /// confirms that.
+    pub fn add_all(&mut self, at: Ms) {
+        self.all = Mark { at, number: Number::MAX }.max(self.all);
     }
 
     /// Patterns to be put together elsewhere by [`compile`] and given back by [`Matcher::install`], once there are
@@ -343,6 +346,15 @@
         matcher.floor(0, 7, 3, Some(&[]), &key("car-video", 7, 0))
     }
 
+    #[test]
+    fn what_stands_in_no_ledger_counts_whatever_boxes_have_confirmed() {
+        let mut matcher = Matcher::default();
+        matcher.add(&purge(0, 400, What::Object(7)), 0);
+        assert_eq!(matcher.floor(99, 7, 0, Some(&[]), "a/7/0"), 400);
+        matcher.add_all(300);
+        assert_eq!([0, 99].map(|after| matcher.floor(after, 8, 0, Some(&[]), "a/8/0")), [300, 300]);
+    }
+
     #[test]
     fn patterns_put_together_match_as_they_did_one_by_one() {
         let mut together = Matcher::default();
--- /dev/null
+++ b/standins/src/boxes.rs
@@ -0,0 +1,332 @@
+//! Cache boxes that hold tagged objects and speak of purges (the project's own protocol page), stale on purpose where
+//! told so: they lie, they are late, they die with and without their disk.
+use std::collections::HashMap;
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+const RECORD_MOST: usize = 2_048;
+const STRING_MOST: usize = 1 << 20;
+
+/// Unix milliseconds.
+pub fn wall() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|e| e.into_inner())
+}
+
+/// What boxes fetch from: the tags of each object now, and how often it was asked.
+#[derive(Default)]
+pub struct Origin {
+    tags: Mutex<HashMap<String, Vec<String>>>,
+    /// Fetches that reached it.
+    pub fetches: AtomicU64,
+}
+
+impl Origin {
+    /// Gives an object other tags from now on.
+    pub fn tag(&self, item: &str, tags: &[&str]) {
+        lock(&self.tags).insert(item.into(), tags.iter().map(|t| t.to_string()).collect());
+    }
+
+    fn fetch(&self, item: &str) -> Copy {
+        self.fetches.fetch_add(1, Ordering::SeqCst);
+        // Given out after the moment that it is dated by, never before.
+        let born = wall();
+        Copy { born, tags: lock(&self.tags).get(item).cloned().unwrap_or_default() }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Copy {
+    born: u64,
+    tags: Vec<String>,
+}
+
+#[derive(Clone, Default)]
+struct Held {
+    copies: HashMap<(String, String), Copy>,
+    ledger: u64,
+    applied: u64,
+    /// It was asked how it stands and said that it holds nothing: what was purged before does not concern it.
+    said_empty: bool,
+}
+
+struct Shared {
+    origin: Arc<Origin>,
+    held: Mutex<Held>,
+    disk: bool,
+    alive: AtomicBool,
+    /// Counts lives: what was begun in an earlier one is not gone on with.
+    life: AtomicU64,
+    lies: AtomicBool,
+    late_ms: AtomicU64,
+    sockets: Mutex<Vec<TcpStream>>,
+    /// Batches that left something out.
+    gaps: AtomicU64,
+}
+
+/// A box.
+pub struct TaggedBox {
+    /// Where it listens, dead or alive.
+    pub address: SocketAddr,
+    shared: Arc<Shared>,
+}
+
+impl TaggedBox {
+    /// A box that fetches from an origin; with a disk it keeps what it has over a death.
+    pub fn start(origin: Arc<Origin>, disk: bool) -> io::Result<TaggedBox> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        let shared = Arc::new(Shared {
+            origin,
+            held: Mutex::default(),
+            disk,
+            alive: AtomicBool::new(true),
+            life: AtomicU64::new(0),
+            lies: AtomicBool::new(false),
+            late_ms: AtomicU64::new(0),
+            sockets: Mutex::default(),
+            gaps: AtomicU64::new(0),
+        });
+        let accepting = Arc::clone(&shared);
+        let thread = std::thread::Builder::new().stack_size(128 * 1024);
+        thread.spawn(move || accept(&accepting, &listener))?;
+        Ok(TaggedBox { address, shared })
+    }
+
+    /// Dies: its connections are reset or closed, what it held is gone unless it has a disk.
+    pub fn kill(&self) {
+        self.shared.alive.store(false, Ordering::SeqCst);
+        self.shared.life.fetch_add(1, Ordering::SeqCst);
+        if !self.shared.disk {
+            *lock(&self.shared.held) = Held::default();
+        }
+        for socket in lock(&self.shared.sockets).drain(..) {
+            // It may be closed already.
+            let _ = socket.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Comes back, at the same address.
+    pub fn revive(&self) {
+        self.shared.alive.store(true, Ordering::SeqCst);
+    }
+
+    /// Answers from what it has, whatever age it is asked for, or no longer.
+    pub fn lie(&self, lies: bool) {
+        self.shared.lies.store(lies, Ordering::SeqCst);
+    }
+
+    /// Waits so long before each answer.
+    pub fn late(&self, ms: u64) {
+        self.shared.late_ms.store(ms, Ordering::SeqCst);
+    }
+
+    /// Everything up to this number is carried out.
+    pub fn applied(&self) -> u64 {
+        lock(&self.shared.held).applied
+    }
+
+    /// Batches that left something out between what was carried out and what they brought.
+    pub fn gaps(&self) -> u64 {
+        self.shared.gaps.load(Ordering::SeqCst)
+    }
+}
+
+fn accept(shared: &Arc<Shared>, listener: &TcpListener) {
+    for socket in listener.incoming().map_while(Result::ok) {
+        if !shared.alive.load(Ordering::SeqCst) {
+            continue;
+        }
+        let Ok(copy) = socket.try_clone() else { continue };
+        lock(&shared.sockets).push(copy);
+        let shared = Arc::clone(shared);
+        let thread = std::thread::Builder::new().stack_size(128 * 1024);
+        // Out of threads is as good as a closed connection here.
+        let _ = thread.spawn(move || converse(&shared, socket));
+    }
+}
+
+fn converse(shared: &Shared, socket: TcpStream) -> Option<()> {
+    let life = shared.life.load(Ordering::SeqCst);
+    socket.set_nodelay(true).ok()?;
+    let mut input = BufReader::new(socket);
+    loop {
+        let words = command(&mut input)?;
+        let late = shared.late_ms.load(Ordering::SeqCst);
+        if late > 0 {
+            std::thread::sleep(Duration::from_millis(late));
+        }
+        if shared.life.load(Ordering::SeqCst) != life {
+            return None;
+        }
+        let text =
+            |i: usize| words.get(i).map(|w| String::from_utf8_lossy(w).to_string()).unwrap_or_default();
+        let (word, fields, body) = match text(0).as_str() {
+            "fetch" => fetch(shared, &text(2)),
+            "purge" => ("DONE", purge(shared, &text(2), words.get(3)?)?, String::new()),
+            _ => continue,
+        };
+        let parts = [text(1).as_str(), word, &fields, &body].map(|p| format!("${}\r\n{p}\r\n", p.len()));
+        input.get_mut().write_all(format!("*4\r\n{}", parts.concat()).as_bytes()).ok()?;
+    }
+}
+
+fn command(input: &mut BufReader<TcpStream>) -> Option<Vec<Vec<u8>>> {
+    fn number(input: &mut BufReader<TcpStream>) -> Option<usize> {
+        let mut line = String::new();
+        input.read_line(&mut line).ok().filter(|n| *n > 1)?;
+        line.get(1..)?.trim_end().parse().ok().filter(|n| *n <= STRING_MOST)
+    }
+    let mut words = Vec::new();
+    for _ in 0..number(input)? {
+        let mut word = vec![0; number(input)? + 2];
+        input.read_exact(&mut word).ok()?;
+        word.truncate(word.len() - 2);
+        words.push(word);
+    }
+    Some(words)
+}
+
+fn field<'a>(fields: &'a str, name: &str) -> Option<&'a str> {
+    fields.split(',').filter_map(|f| f.split_once('=')).find(|(n, _)| *n == name).map(|(_, v)| v)
+}
+
+/// The answer to a request: word, fields, body. The body tells of the copy.
+fn fetch(shared: &Shared, fields: &str) -> (&'static str, String, String) {
+    let item = field(fields, "item").unwrap_or("").to_string();
+    let key = (
+        format!("{}/{item}/{}", field(fields, "cls").unwrap_or(""), field(fields, "chunk").unwrap_or("0")),
+        item,
+    );
+    let oldest: u64 = field(fields, "oldest").and_then(|o| o.parse().ok()).unwrap_or(0);
+    let now = wall();
+    let held = lock(&shared.held).copies.get(&key).cloned();
+    let lies = shared.lies.load(Ordering::SeqCst);
+    let good = held.filter(|copy| lies || oldest == 0 || now <= copy.born + oldest);
+    let (copy, tell) = match good {
+        Some(copy) => (copy, "local"),
+        None => {
+            let copy = shared.origin.fetch(&key.1);
+            lock(&shared.held).copies.insert(key, copy.clone());
+            (copy, "pulled")
+        }
+    };
+    let tags = copy.tags.join(";");
+    let fields = format!("ver=4be0c1927d55a6f3,born={},tell={tell},tags={tags}", copy.born);
+    ("HIT", fields, format!("born={} tags={tags}", copy.born))
+}
+
+/// Carries a batch out and tells how the box stands.
+fn purge(shared: &Shared, fields: &str, body: &[u8]) -> Option<String> {
+    let ledger = u64::from_str_radix(field(fields, "ledger")?, 16).ok()?;
+    let number = |name| field(fields, name).and_then(|n| n.parse::<u64>().ok());
+    let (after, upto) = (number("after")?, number("upto")?);
+    let mut held = lock(&shared.held);
+    if upto > 0 {
+        if held.ledger != ledger {
+            (held.ledger, held.applied) = (ledger, 0);
+        }
+        // Without a copy nothing has to be carried out that came before.
+        if std::mem::take(&mut held.said_empty) || held.copies.is_empty() {
+            held.applied = held.applied.max(after);
+        }
+        if after > held.applied && !held.copies.is_empty() {
+            shared.gaps.fetch_add(1, Ordering::SeqCst);
+        }
+        let mut rest = body;
+        while !rest.is_empty() {
+            let (record, used) = record(rest)?;
+            rest = &rest[used..];
+            held.copies
+                .retain(|(key, item), copy| copy.born >= record.at || !record.concerns(key, item, copy));
+        }
+        held.applied = held.applied.max(upto);
+    }
+    let empty = held.copies.is_empty() && upto == 0;
+    held.said_empty |= empty;
+    let empty = u8::from(empty);
+    Some(format!("ledger={:016x},upto={},empty={empty}", held.ledger, held.applied))
+}
+
+struct Record {
+    at: u64,
+    kind: u8,
+    number: u64,
+    text: String,
+}
+
+impl Record {
+    fn concerns(&self, key: &str, item: &str, copy: &Copy) -> bool {
+        match self.kind {
+            0 => item == format!("{:016x}", self.number),
+            // A box is not told of groups: it lets all go.
+            1 => true,
+            2 => copy.tags.contains(&self.text),
+            _ => matches(self.text.as_bytes(), key.as_bytes()),
+        }
+    }
+}
+
+/// Stars and question marks; other wildcards match all, which is on the safe side.
+fn matches(pattern: &[u8], text: &[u8]) -> bool {
+    match (pattern.first(), text.first()) {
+        (None, None) => true,
+        (Some(b'['), _) | (Some(b'{'), _) => true,
+        (Some(b'*'), _) => matches(&pattern[1..], text) || !text.is_empty() && matches(pattern, &text[1..]),
+        (Some(b'?'), Some(_)) => matches(&pattern[1..], &text[1..]),
+        (Some(a), Some(b)) if a == b => matches(&pattern[1..], &text[1..]),
+        _ => false,
+    }
+}
+
+fn crc(bytes: &[u8]) -> u32 {
+    !bytes.iter().fold(!0u32, |mut crc, byte| {
+        crc ^= u32::from(*byte);
+        for _ in 0..8 {
+            crc = (crc >> 1) ^ (0xedb8_8320 & (crc & 1).wrapping_neg());
+        }
+        crc
+    })
+}
+
+/// The first record, and its length in bytes; `None`: it is not as the protocol page has it.
+fn record(bytes: &[u8]) -> Option<(Record, usize)> {
+    let size = u32::from_le_bytes(bytes.get(..4)?.try_into().ok()?) as usize;
+    let payload = bytes.get(8..8 + size).filter(|_| size <= RECORD_MOST)?;
+    let told = u32::from_le_bytes(bytes.get(4..8)?.try_into().ok()?);
+    if crc(&[&bytes[..4], payload].concat()) != told {
+        return None;
+    }
+    let at = u64::from_le_bytes(payload.get(8..16)?.try_into().ok()?);
+    let kind = *payload.get(16)?;
+    let rest = payload.get(17..)?;
+    let mut found = Record { at, kind, number: 0, text: String::new() };
+    match kind {
+        0 => found.number = u64::from_le_bytes(rest.get(..8)?.try_into().ok()?),
+        1 => found.number = u32::from_le_bytes(rest.get(..4)?.try_into().ok()?).into(),
+        _ => {
+            let size = u16::from_le_bytes(rest.get(..2)?.try_into().ok()?) as usize;
+            found.text = std::str::from_utf8(rest.get(2..2 + size)?).ok()?.into();
+        }
+    }
+    Some((found, 8 + size))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn checksums_and_patterns_are_those_of_the_protocol_page() {
+        assert_eq!(crc(b"123456789"), 0xcbf4_3926);
+        assert!(matches(b"car-*/7f?a*", b"car-video/7f3a9c21e0b4d655/3"));
+        assert!(!matches(b"car-*/7f?a", b"car-video/7f3a9c21e0b4d655/3"));
+        assert!(record(&[9; 40]).is_none() && record(&[]).is_none());
+    }
+}
