Give back the places of what the shield turns away, and measure purges

Cause: an attempt that the shield turned away was never booked, so the decisions held its place for ever; under a purge of everything nothing was sent any more. Seen in make measure-boxes (0 of 32 served), then in the stage's test, which had been too mild to tell.

The attempt is booked as one for which there was no connection. Stand-in boxes miss where they are told of no source.

--- a/front/examples/measure-boxes.rs
+++ b/front/examples/measure-boxes.rs
@@ -81,7 +81,7 @@
 fn delays(count: usize) {
     let origin = Arc::new(Origin::default());
     let boxes: Vec<_> = (0..count).map(|_| TaggedBox::start(Arc::clone(&origin), true).unwrap()).collect();
-    let main = TaggedBox::start(Arc::clone(&origin), false).unwrap();
+    let main = TaggedBox::main(Arc::clone(&origin)).unwrap();
     let on = json!({"kinds": ["small-box"], "connections_most": count, "per_s": 1_000_000});
     let front = Front::start(&boxes, &main, json!({"boxes": on}));
     let wait =
@@ -149,7 +149,7 @@
 fn everything(shield: Option<u32>) {
     let origin = Arc::new(Origin::default());
     let boxes: Vec<_> = (0..6).map(|_| TaggedBox::start(Arc::clone(&origin), true).unwrap()).collect();
-    let main = TaggedBox::start(Arc::clone(&origin), false).unwrap();
+    let main = TaggedBox::main(Arc::clone(&origin)).unwrap();
     let mut purges = json!({});
     if let Some(shield) = shield {
         purges["shield_per_s"] = shield.into();
@@ -187,6 +187,8 @@
 }
 
 fn main() {
-    [10, 100, 1_000].into_iter().for_each(delays);
+    if std::env::args().all(|a| a != "shield") {
+        [10, 100, 1_000].into_iter().for_each(delays);
+    }
     [None, Some(500)].into_iter().for_each(everything);
 }
--- a/front/src/routing/send.rs
+++ b/front/src/routing/send.rs
@@ -39,10 +39,13 @@
         if let Some(key) = past {
             // One that is fetched already is joined, and costs nothing more.
             if !self.past.contains_key(&key) {
-                let class = open.ask.class.clone();
+                let (class, number) = (open.ask.class.clone(), open.sent);
                 if let Some(wait) = self.shielded(now, &class) {
+                    // The decisions hold a place for this attempt until they hear of its end.
+                    let attempt = AttemptId { request, number };
+                    self.out.insert(attempt, Out { sent: now, to: target, past: None });
                     self.conclude(request, Answer::Refused(wait));
-                    return self.tell(now, cranesill::api::Event::Gone(request));
+                    return self.ended(now, attempt, End::Unplaced);
                 }
             }
             *self.past.entry(key).or_default() += 1;
--- a/front/src/routing/tests.rs
+++ b/front/src/routing/tests.rs
@@ -148,6 +148,7 @@
             }
         }
     }
-    // Twenty objects at most, and a second ask for one of these joins the first; others wait for room at a cache.
-    assert!(refused >= 20 && (1..=40).contains(&sent), "{sent} sent, {refused} refused");
+    // Twenty objects at most, and a second ask for one of these joins the first. What is turned away leaves its place:
+    // all the others would wait for room else.
+    assert!(refused >= 100 && (1..=40).contains(&sent), "{sent} sent, {refused} refused");
 }
--- a/front/tests/fleet.rs
+++ b/front/tests/fleet.rs
@@ -77,7 +77,7 @@
     let origin = Arc::new(Origin::default());
     (0..OBJECTS).for_each(|n| origin.tag(&item(n), &[TAGS[n as usize % 3]]));
     let boxes: Vec<_> = (0..6).map(|i| TaggedBox::start(Arc::clone(&origin), i % 2 == 0).unwrap()).collect();
-    let main = TaggedBox::start(Arc::clone(&origin), false).unwrap();
+    let main = TaggedBox::main(Arc::clone(&origin)).unwrap();
     let port = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port();
     let at = format!("127.0.0.1:{port}");
     let writes = json!({"serve": at, "boxes": {"kinds": ["small-box"], "connections_most": 8}});
--- a/standins/src/boxes.rs
+++ b/standins/src/boxes.rs
@@ -60,6 +60,8 @@
     origin: Arc<Origin>,
     held: Mutex<Held>,
     disk: bool,
+    /// The main store itself: it never misses.
+    main: bool,
     alive: AtomicBool,
     /// Counts lives: what was begun in an earlier one is not gone on with.
     life: AtomicU64,
@@ -80,12 +82,22 @@
 impl TaggedBox {
     /// A box that fetches from an origin; with a disk it keeps what it has over a death.
     pub fn start(origin: Arc<Origin>, disk: bool) -> io::Result<TaggedBox> {
+        Self::begin(origin, disk, false)
+    }
+
+    /// The main store, as a member that never misses.
+    pub fn main(origin: Arc<Origin>) -> io::Result<TaggedBox> {
+        Self::begin(origin, false, true)
+    }
+
+    fn begin(origin: Arc<Origin>, disk: bool, main: bool) -> io::Result<TaggedBox> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
         let shared = Arc::new(Shared {
             origin,
             held: Mutex::default(),
             disk,
+            main,
             alive: AtomicBool::new(true),
             life: AtomicU64::new(0),
             lies: AtomicBool::new(false),
@@ -211,6 +223,10 @@
     let good = held.filter(|copy| lies || oldest == 0 || now <= copy.born + oldest);
     let (copy, tell) = match good {
         Some(copy) => (copy, "local"),
+        // Told of no source it is asked for what it holds alone.
+        None if !shared.main && field(fields, "from").is_none() => {
+            return ("NONE", "tell=not_there".into(), String::new())
+        }
         None => {
             let copy = shared.origin.fetch(&key.1);
             lock(&shared.held).copies.insert(key, copy.clone());
