Tell by a story that a second hello on a secured connection ends that one alone

Need: floods by renegotiation are among what a listener must stand; no test of ours touched a connection after its handshake.

--- a/front/tests/tls.rs
+++ b/front/tests/tls.rs
@@ -387,3 +387,20 @@
     assert_eq!(code, 0, "{text}");
     assert!(text.contains("garbage"), "{text}");
 }
+
+#[test]
+fn a_second_hello_on_a_secured_connection_ends_that_one_alone() {
+    let play = Play::new("http-01", json!([{"names": ["front1.example"]}]));
+    let stage = play.start();
+    stage.caches.iter().for_each(|c| serve_all(c, "x"));
+    until(&stage.log, "kind=issued");
+    let mut usual = play.connect("front1.example").unwrap();
+    let mut odd = play.connect("front1.example").unwrap();
+    odd.ask(1).unwrap();
+    odd.hear().unwrap();
+    // A hello in the clear where sealed records belong: what a client that renegotiates by force would send.
+    odd.0.sock.write_all(&[22, 3, 3, 0, 8, 1, 0, 0, 4, 3, 3, 0, 0]).unwrap();
+    assert!(odd.hear().is_err());
+    usual.ask(1).unwrap();
+    assert!(usual.hear().unwrap().ends_with(b"x"));
+}
