--- a/front/src/program/purges.rs
+++ b/front/src/program/purges.rs
@@ -230,6 +230,7 @@
         while self.keeping.is_none() {
             let Some((number, command)) = self.waiting.pop_front() else { return };
             if let Some(why) = &self.broken {
+                self.waiters.remove(&number);
                 turn.effects.push(Effect::Answer(number, Err(format!("the ledger can't be kept: {why}"))));
                 continue;
             }
@@ -373,6 +374,7 @@
         tracing::error!(kind = "not-kept", error = why, "purges: the ledger can't be kept");
         self.broken = Some(why.into());
         if let Some((operator, purge)) = self.keeping.take() {
+            self.waiters.remove(&operator);
             turn.effects.push(Effect::Purged(vec![Purge { number: 0, ..purge }]));
             let text = format!(
                 "it counts here until a restart, and could not be kept: {why}; repeat it with the same id"
