Let an idle origin take what parents have no room for where a front's share is below one

The parent that was left timed out 100 fills a second; each front's share of it is a third of a place, which one late fill holds for over a second. The line at fault is in plan(), src/policy.rs: the origin was used as a spare only while the list still named the home parent and that was DOWN.

Change: with a share below one place the origin takes what the parent has no room for, within its own limit.

New test in tests/fleet.rs.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -564,10 +564,13 @@
         if req.missed {
             // A second fill of the same part would crowd the link: the copy will be there soon.
             let twin = !self.settings.joins && self.filling.contains(&req.key());
-            // The parents left carry a DOWN one's fills: what they have no room for goes to the origin.
-            let bereft = |home: &usize| !self.members[*home].health.selectable(self.now);
-            let bereft = !self.room(source) && self.order(Role::Parent, &req.ask).first().is_some_and(bereft);
-            let spare = self.origin().filter(|o| bereft && self.room(*o));
+            // What a parent has no room for goes to the origin while that has some, where the parents left
+            // carry a DOWN one's fills, or where one place is more than this router's share of the parent: a
+            // late fill holds all of such a limit, and many routers would wait beside an idle origin.
+            let home = self.order(Role::Parent, &req.ask).first().copied();
+            let bereft = home.is_some_and(|at| !self.members[at].health.selectable(self.now))
+                || self.members[source].pace.full < 1.0;
+            let spare = self.origin().filter(|o| bereft && !self.room(source) && self.room(*o));
             let fill = Spot::Fill(req.ask.object, req.ask.part);
             let source = spare.unwrap_or(source);
             return match if twin { Some(fill) } else { self.fill_waits(source, req.lacks, &req.ask) } {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -29,3 +29,27 @@
     assert!(other.iter().all(|sent| !held(sent)), "what was not purged is filled as ever");
     assert_eq!(stand.checker.broken, Vec::<String>::new());
 }
+
+#[test]
+fn what_the_last_parent_has_no_room_for_goes_to_an_idle_origin() {
+    // A hub was lost: once the list said so, the parent that was left had room for a third of a fill of each front,
+    // and 1,700 requests a second were refused beside an origin that was idle.
+    let mut members = usual();
+    members.remove(4);
+    members[3].weight = 0.3;
+    let mut stand = Stand::new(Settings { joins: true, direct: true, ..settings() }, members);
+    let mut by_source = std::collections::BTreeMap::<u64, u32>::new();
+    for id in 1..=12 {
+        let mut next = stand.ask(ask(id, id));
+        while let Some(sent) = next.pop() {
+            if sent.source == Some(sent.target) {
+                next = stand.end(&sent, Status::Miss, Note::None, 0);
+            } else {
+                *by_source.entry(sent.source.unwrap_or(sent.target)).or_default() += 1;
+            }
+        }
+    }
+    assert!(by_source.get(&30).is_some_and(|n| *n >= 8), "{by_source:?}");
+    assert!(by_source.get(&20).is_some_and(|n| *n <= 4), "{by_source:?}");
+    assert_eq!(stand.checker.broken, Vec::<String>::new());
+}
