Let late answers cut no limit of a source of which a front's share is below one place

A fetch by its way takes 0.12 s at best and a page's aim is 0.15 s, so that most answers count as late; one front hears of a source once a second, its average (weight 0.05) needs ten good answers to come down again, and each late one cuts its limit by 15 % meanwhile: pace() in src/policy.rs, called from outcome().

Change: a source of which a router's share is below one place (thin) gets room for any answer; refusals, time-outs and lost connections cut its limit as before.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -364,6 +364,16 @@
         self.members[at].pace.room(self.now)
     }
 
+    /// Whether this router's share of a source is less than one place: many routers send to few parents. The
+    /// origin's size is a guess, so it goes with the parents there.
+    fn thin(&self, at: usize) -> bool {
+        let thin = |at: &usize| self.members[*at].pace.least < 1.0;
+        match self.members[at].role {
+            Role::Origin => self.members.ready(Role::Parent).iter().any(thin),
+            _ => thin(&at),
+        }
+    }
+
     /// What a fill from `source` waits for, if anything: for the link only where reports tell of it.
     fn fill_waits(&self, source: usize, lacks: bool, ask: &Request) -> Option<Spot> {
         let lack = |room: bool, spot: Spot| (!room).then_some(spot);
@@ -568,8 +578,8 @@
             // carry a DOWN one's fills, or where one place is more than this router's share of the parent: a
             // late fill holds all of such a limit, and many routers would wait beside an idle origin.
             let home = self.order(Role::Parent, &req.ask).first().copied();
-            let bereft = home.is_some_and(|at| !self.members[at].health.selectable(self.now))
-                || self.members[source].pace.full < 1.0;
+            let bereft =
+                home.is_some_and(|at| !self.members[at].health.selectable(self.now)) || self.thin(source);
             let spare = self.origin().filter(|o| bereft && !self.room(source) && self.room(*o));
             let fill = Spot::Fill(req.ask.object, req.ask.part);
             let source = spare.unwrap_or(source);
@@ -791,8 +801,11 @@
                 for at in filled.filter(|_| in_time).into_iter().chain(other.filter(|_| by_origin)) {
                     self.served(at, sent);
                 }
-                if in_time || filled.is_none() || self.link_told() <= Some(LINK_FULL) {
-                    self.pace(Spot::Member(filled.unwrap_or(target)), in_time, false);
+                // Of a source of which one place is more than its share a router hears too seldom to tell a
+                // jam by late answers: a few would hold its limit down long after. What came fills caches.
+                let well = in_time || filled.is_some_and(|at| self.thin(at));
+                if well || filled.is_none() || self.link_told() <= Some(LINK_FULL) {
+                    self.pace(Spot::Member(filled.unwrap_or(target)), well, false);
                 }
             }
             Status::Moot => req.failed.push(target),
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -53,3 +53,25 @@
     assert!(by_source.get(&20).is_some_and(|n| *n <= 4), "{by_source:?}");
     assert_eq!(stand.checker.broken, Vec::<String>::new());
 }
+
+#[test]
+fn one_of_many_routers_does_not_hold_a_source_down_for_late_answers() {
+    // Each of a hundred fronts hears of a source once a second: a few late answers kept it from sending there for ten
+    // seconds after the source was quick again.
+    let many = Settings { routers: 100, joins: true, direct: true, ..settings() };
+    let mut members = usual();
+    members.remove(4);
+    let mut stand = Stand::new(many, members);
+    for id in 1..=30 {
+        let sent = stand.ask(ask(id, id)).remove(0);
+        stand.advance(1500 * MS);
+        if stand.live().iter().any(|s| s.request == sent.request) {
+            stand.end(&sent, Status::Ok, Note::Filled, 1400 * MS);
+        }
+    }
+    let first = stand.ask(ask(31, 31)).remove(0);
+    let next = stand.end(&first, Status::Miss, Note::SourceLacks, 0);
+    let next: Vec<_> = next.iter().map(|sent| sent.source).collect();
+    assert_eq!(next, [Some(20)], "the parent has room for what missed");
+    assert_eq!(stand.checker.broken, Vec::<String>::new());
+}
