--- a/front/tests/tls.rs
+++ b/front/tests/tls.rs
@@ -15,9 +15,17 @@
 
 const GUARD: Duration = Duration::from_secs(30);
 
-/// A port that nobody else has now.
+/// A port that nobody else has, nor gets before the front does: the system gives out none below its own range, and one
+/// that it had given out could go to a connection of another test meanwhile.
 fn port() -> u16 {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port()
+    static LAST: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
+    loop {
+        let n = LAST.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        let port = 20_000 + ((std::process::id() * 64 + n) % 12_000) as u16;
+        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
+            return port;
+        }
+    }
 }
 
 struct Play {
