Answer operators on a second address: figures, cache nodes by hand, drains

Change: driver and codec for the address in RELAY_OPS or 'ops'; the socket in RELAY_ACCEPT_FD; counts in the stages; a state of a member by hand in the decisions; connections told off are closed as they become free. What waited for a cache with none left was left waiting until its time was up (release, Spot::Cache): it is answered at once now.

--- a/front/src/program/cli.rs
+++ b/front/src/program/cli.rs
@@ -4,18 +4,28 @@
 use super::serve::Server;
 use bpaf::{construct, long, positional, OptionParser, Parser};
 use cranesill_daemon::Daemon;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 #[derive(Clone, Debug)]
 enum Command {
-    Serve(PathBuf, Option<PathBuf>),
+    Serve(Serve),
     Check(Option<PathBuf>, Option<PathBuf>),
     Schema,
     Ctl(Ctl),
     Version,
 }
 
+/// What a front is started with.
+#[derive(Clone, Debug)]
+struct Serve {
+    settings: Option<PathBuf>,
+    ops: Option<SocketAddr>,
+    accept_fd: Option<i32>,
+    config: PathBuf,
+}
+
 fn options() -> OptionParser<Command> {
     let file = || {
         let option = long("config").help("The configuration").env("RELAY_CONFIG").argument::<PathBuf>("FILE");
@@ -24,7 +34,17 @@
     };
     let own = || long("settings").help("The daemon's own settings").argument::<PathBuf>("FILE").optional();
     let (settings, config) = (own(), file());
-    let serve = construct!(settings, config).map(|(settings, config)| Command::Serve(config, settings));
+    let ops = long("ops")
+        .help("Where operators call, if not as the configuration says")
+        .env("RELAY_OPS")
+        .argument::<SocketAddr>("ADDRESS")
+        .optional();
+    let accept_fd = long("accept-fd")
+        .help("The clients' listening socket, inherited under this number")
+        .env("RELAY_ACCEPT_FD")
+        .argument::<i32>("N")
+        .optional();
+    let serve = construct!(Serve { settings, ops, accept_fd, config }).map(Command::Serve);
     let serve = serve.to_options().descr("Serve clients until SIGTERM");
     let (settings, config) = (own(), file().optional());
     let check = construct!(settings, config).map(|(settings, config)| Command::Check(config, settings));
@@ -44,9 +64,11 @@
         .descr("A front for caches that fill from parents and an origin")
 }
 
-fn serve(config: PathBuf, own: Option<PathBuf>) -> Result<(), Vec<String>> {
+fn serve(Serve { config, settings: own, ops, accept_fd }: Serve) -> Result<(), Vec<String>> {
     let mut config = Config::load(&config)?;
     let daemon = own.as_deref().map_or(Ok(Daemon::default()), settings)?;
+    config.ops = ops.or(config.ops);
+    config.accept_fd = accept_fd;
     config.reserve(&daemon).map_err(|e| vec![e])?;
     Server::new(config, daemon, own).and_then(Server::run).map_err(|e| vec![e])
 }
@@ -91,7 +113,7 @@
 /// Runs what the command line asks for.
 pub fn run() -> ExitCode {
     let done = match options().run() {
-        Command::Serve(config, own) => serve(config, own),
+        Command::Serve(asked) => serve(asked),
         Command::Check(config, own) => check(config, own),
         Command::Schema => {
             // A value of JSON can always be written as text.
--- a/front/src/program/clients.rs
+++ b/front/src/program/clients.rs
@@ -27,6 +27,12 @@
 /// Messages that a client has not taken yet from which on no more is read from it: small frames at full speed
 /// would else pile up answers without end.
 const UNTAKEN_MOST: usize = 2 * STREAMS_MOST;
+/// While the front is emptied, a connection that carried nothing for this long is closed: what its client sent before
+/// it was told has come by then.
+const QUIET: Span = 200_000;
+/// A client that was told to open nothing new and goes on all the same is closed after this long, as soon as nothing of
+/// it is open.
+const TOLD_MOST: Span = 1_500_000;
 /// A client that sends what can't be taken in is read again after this long: those that ask for something come
 /// first, however fast it goes on.
 const REST: Span = 100_000;
@@ -54,6 +60,8 @@
     rests: Time,
     /// All is said: it is closed then.
     ends: Option<Time>,
+    /// When it was told to open nothing new here.
+    told: Option<Time>,
 }
 
 /// All connections of clients.
@@ -61,7 +69,9 @@
 pub struct Clients {
     all: HashMap<usize, Client>,
     /// No new requests are wanted.
-    pub leaving: bool,
+    leaving: bool,
+    /// Connections are closed as soon as they carry nothing.
+    empties: bool,
     held: usize,
     lost: Vec<Heard>,
     scratch: Vec<u8>,
@@ -114,22 +124,31 @@
 
     fn begin(&mut self, now: Time, stream: Stream<()>, key: usize) {
         let (open, closing, owes) = (HashSet::new(), false, Some(now));
-        self.all.insert(key, Client { stream, open, closing, moved: now, owes, rests: 0, ends: None });
+        self.all.insert(
+            key,
+            Client { stream, open, closing, moved: now, owes, rests: 0, ends: None, told: None },
+        );
         if self.leaving {
             self.say_no_more(now, key);
         }
     }
 
-    /// Tells all clients that no new requests are wanted.
-    pub fn leave(&mut self, now: Time) {
-        self.leaving = true;
+    /// Tells all clients that no new requests are wanted; `empties`: connections are closed as they become free.
+    pub fn leave(&mut self, now: Time, empties: bool) {
+        (self.leaving, self.empties) = (true, self.empties || empties);
         let keys: Vec<_> = self.all.keys().copied().collect();
         keys.into_iter().for_each(|key| self.say_no_more(now, key));
     }
 
+    /// New requests are wanted again. A connection whose client was told otherwise stays told, and goes.
+    pub fn resume(&mut self) {
+        self.leaving = false;
+    }
+
     fn say_no_more(&mut self, now: Time, key: usize) {
-        if let Some(client) = self.all.get_mut(&key) {
+        if let Some(client) = self.all.get_mut(&key).filter(|client| client.told.is_none()) {
             client.stream.push(client::no_more());
+            client.told = Some(now);
         }
         self.flush(now, key);
     }
@@ -206,6 +225,7 @@
             if !client.closing && client.owes.is_some_and(|since| now > since + FRAME_MOST) {
                 client.end();
             }
+            client.closing |= self.empties && client.is_free(now);
             // Those that rested are read again.
             self.flush(now, key);
         }
@@ -247,6 +267,14 @@
 }
 
 impl Client {
+    /// Whether it can be closed since the front is emptied: nothing is open, begun or, most likely, on its way. A
+    /// request that crosses the close in the moment after is sent again by its client.
+    fn is_free(&self, now: Time) -> bool {
+        let over = |told: Time| now > told + TOLD_MOST || now > told.max(self.moved) + QUIET;
+        let idle = self.open.is_empty() && self.stream.flushed() && self.stream.input().is_empty();
+        idle && self.told.is_some_and(over)
+    }
+
     /// Whether more is read from it.
     fn reads(&self, now: Time) -> bool {
         now >= self.rests && self.stream.untaken() < UNTAKEN_MOST
--- a/front/src/program/config.rs
+++ b/front/src/program/config.rs
@@ -28,6 +28,10 @@
     /// The number of the last event that is known, and the events.
     pub known: (u64, Vec<News>),
     pub deployment: Deployment,
+    /// Where operators call, if anywhere.
+    pub ops: Option<SocketAddr>,
+    /// The clients' listening socket, where the platform holds it.
+    pub accept_fd: Option<i32>,
 }
 
 impl Config {
@@ -44,6 +48,7 @@
             let text = v[key].as_str().ok_or_else(|| format!("{key}: missing"))?;
             text.parse::<SocketAddr>().map_err(|_| format!("{key}: no address: {text}"))
         };
+        let ops = || if v["ops"].is_null() { Ok(None) } else { address("ops").map(Some) };
         let limit = |key: &str, least: u64| {
             let told = v["limits"][key].as_f64().ok_or_else(|| format!("limits.{key}: missing"))? as u64;
             Some(told).filter(|n| *n >= least).ok_or_else(|| format!("limits.{key}: under {least}"))
@@ -56,18 +61,33 @@
         let listen = kept(address("listen"), &mut faults);
         let seed = kept(seed(), &mut faults);
         let feed = kept(address("feed"), &mut faults);
+        let ops = kept(ops(), &mut faults);
         let sockets = kept(limit("sockets", SOCKETS_LEAST), &mut faults);
         let memory = kept(limit("memory_mb", MEMORY_LEAST), &mut faults);
         let deployment = kept(cranesill_settings::read(&v["settings"]), &mut faults);
         let known = deployment.as_ref().and_then(|d| kept(known::read(&v["known"], &d.names), &mut faults));
-        let all = listen.zip(seed).zip(feed).zip(sockets).zip(memory).zip(deployment).zip(known);
-        let Some(((((((listen, seed), feed), sockets), memory), deployment), known)) = all else {
+        let all = listen.zip(ops).zip(seed).zip(feed).zip(sockets).zip(memory).zip(deployment).zip(known);
+        let Some((((((((listen, ops), seed), feed), sockets), memory), deployment), known)) = all else {
             return Err(faults);
         };
         let name = v["name"].as_str().unwrap_or("front").to_string();
         let (sockets, memory) = (sockets as usize, memory as usize * (1 << 20));
         let file = file.to_path_buf();
-        Ok(Config { file, name, listen, seed, feed, sockets, reserved: 0, memory, known, deployment })
+        let accept_fd = None;
+        Ok(Config {
+            file,
+            name,
+            listen,
+            seed,
+            feed,
+            sockets,
+            reserved: 0,
+            memory,
+            known,
+            deployment,
+            ops,
+            accept_fd,
+        })
     }
 
     /// Connections of clients held at once.
@@ -86,12 +106,13 @@
             .as_ref()
             .map_or(0, |p| 6 + p.serve.as_ref().map_or(0, |_| super::replicas::FOLLOWERS_MOST))
             + boxes.map_or(0, |b| b.connections_most);
-        self.reserved = tls + control + certs + purges;
+        let ops = self.ops.map_or(0, |_| super::ops::CALLERS_MOST + 1);
+        self.reserved = tls + control + certs + purges + ops;
         let most = self.sockets / 4;
         if self.reserved > most {
             let all = self.reserved;
             return Err(format!(
-                "$.tls.handshakes_most: control, tls, certs and purges would take {all} descriptors, and {most} of {} are \
+                "$.tls.handshakes_most: ops, control, tls, certs and purges would take {all} descriptors, and {most} of {} are \
                  for them",
                 self.sockets
             ));
--- a/front/src/program/members.rs
+++ b/front/src/program/members.rs
@@ -94,6 +94,8 @@
     links_most: usize,
     streams: usize,
     idle: Span,
+    /// Commands that were written whole.
+    pub written: u64,
     /// Bytes held on all connections.
     held: usize,
     /// Nothing is read: too much is held already.
@@ -111,6 +113,7 @@
             at: HashMap::new(),
             links_most,
             streams,
+            written: 0,
             idle: (idle as f64 * IDLE_SHARE) as Span,
             held: 0,
             paused: false,
@@ -123,6 +126,11 @@
         self.links.contains_key(&key)
     }
 
+    /// The members that are listed.
+    pub fn listed(&self) -> impl Iterator<Item = MemberId> + '_ {
+        self.listed.keys().copied()
+    }
+
     /// Bytes held on all connections.
     pub fn held(&self) -> usize {
         self.held
@@ -305,8 +313,9 @@
     fn flush(&mut self, now: Time, key: usize, ends: &mut Ends) {
         let Some(link) = self.links.get_mut(&key).filter(|link| link.up) else { return };
         link.idle_since = now;
-        let open = &mut link.open;
+        let (open, count) = (&mut link.open, &mut self.written);
         let done = |tag: Option<Txn>| {
+            *count += u64::from(tag.is_some());
             tag.and_then(|txn| open.get_mut(&txn)).into_iter().for_each(|sent| sent.written = true);
         };
         let flushed = link.stream.flush(done).and_then(|()| link.stream.rewatch(!self.paused));
--- a/front/src/program/mod.rs
+++ b/front/src/program/mod.rs
@@ -10,6 +10,7 @@
 mod feed;
 mod log;
 mod members;
+mod ops;
 mod purges;
 mod replicas;
 mod serve;
--- a/front/src/program/serve.rs
+++ b/front/src/program/serve.rs
@@ -7,11 +7,13 @@
 use super::feed::Feed;
 use super::log::Log;
 use super::members::{Ends, Members};
+use super::ops::Ops;
 use super::purges::Purges;
 use super::tls::Tls;
 use crate::protocol::feed::{Listing, News};
+use crate::protocol::ops::member_id;
 use crate::routing::{Answer, AttemptId, Command, End, Floors, Front, Wake};
-use crate::transport::{listen, Clock, Deadlines, Reactor, Registered};
+use crate::transport::{inherited, listen, Clock, Deadlines, Reactor, Registered};
 use cranesill::api::{Entry, Listed, MemberId, Span, Time};
 use cranesill_daemon::{changes, Daemon, Level, WithoutContact};
 use cranesill_purges::contact::{Contact, Without};
@@ -32,6 +34,8 @@
 const SWEEP: Span = 250_000;
 /// After SIGTERM requests are taken for this long: clients hear of it one after another.
 const LEAVE_WINDOW: Span = 1_000_000;
+/// A front that is emptied serves what is asked on open connections for this long; then it refuses.
+const QUIESCE_SERVES: Span = 1_500_000;
 /// After SIGTERM the program ends then, whatever is not done.
 const LEAVE_MOST: Span = 15_000_000;
 /// Connections accepted in one turn.
@@ -46,6 +50,7 @@
     Feed,
     Sweep,
     Leave,
+    Quiesced,
 }
 
 /// One front on its sockets.
@@ -64,6 +69,10 @@
     log: Log,
     last_key: usize,
     leaving: Option<Time>,
+    /// Since when it is emptied.
+    quiesced: Option<Time>,
+    /// The driver that goes before clients: operators' calls are due whatever the load.
+    first: usize,
     /// The daemon's own settings, and where they were read from.
     daemon: Daemon,
     daemon_file: Option<PathBuf>,
@@ -74,7 +83,13 @@
 }
 
 /// Words for operators that the front itself takes.
-const WORDS: [(&str, &str); 4] = [
+const WORDS: [(&str, &str); 10] = [
+    ("health", "whether it can serve"),
+    ("counters", "the figures"),
+    ("cordon", "{node}: take a cache, a parent or the origin out, by hand"),
+    ("uncordon", "{node}: it may serve again"),
+    ("quiesce", "empty the front of clients"),
+    ("resume", "take clients again"),
     ("purge-dry", "{object | group | tag | pattern}: how many known objects match"),
     ("status", "how the front stands"),
     ("log", "{level}: change the log's level until the next reload"),
@@ -89,7 +104,10 @@
         let failed = |what: &'static str| move |e: io::Error| format!("{what}: {e}");
         let clock = Clock::new();
         let reactor = Reactor::new().map_err(failed("poller"))?;
-        let listener = listen(config.listen).map_err(|e| format!("{}: {e}", config.listen))?;
+        let listener = match config.accept_fd {
+            Some(fd) => inherited(fd).map_err(|e| format!("RELAY_ACCEPT_FD: {fd}: {e}"))?,
+            None => listen(config.listen).map_err(|e| format!("{}: {e}", config.listen))?,
+        };
         let listener = reactor.watch(listener, LISTENER, false).map_err(failed("poller"))?;
         let term = raised(&reactor, signal_hook::consts::SIGTERM, TERM).map_err(failed("signals"))?;
         let hangup = raised(&reactor, signal_hook::consts::SIGHUP, HANGUP).map_err(failed("signals"))?;
@@ -104,6 +122,8 @@
             log,
             last_key: KEYS,
             leaving: None,
+            quiesced: None,
+            first: 0,
             daemon,
             daemon_file,
             drivers: Vec::new(),
@@ -128,6 +148,10 @@
 
     /// Starts the subsystems that the settings name. The control socket is the last: it knows the others' words.
     fn drivers(&mut self, now: Time) -> Result<(), String> {
+        if let Some(at) = self.config.ops {
+            self.start(now, |turn| Ok(Box::new(Ops::new(turn, at)?)))?;
+            self.first = self.drivers.len();
+        }
         let (daemon, name) = (self.daemon.clone(), self.config.name.clone());
         if let Some(tls) = daemon.tls {
             self.start(now, |turn| Ok(Box::new(Tls::new(turn, tls)?)))?;
@@ -251,6 +275,13 @@
     /// Answers an operator.
     fn word(&mut self, now: Time, word: &str, args: &Value) -> Result<Value, String> {
         match word {
+            "health" if self.leaving.is_some() => Err("leaving".into()),
+            "health" if self.quiesced.is_some() => Err("quiesced".into()),
+            "health" => Ok("serving".into()),
+            "counters" => Ok(self.counters()),
+            "cordon" | "uncordon" => self.by_hand(now, args, word == "cordon"),
+            "quiesce" => Ok(self.quiesce(now).into()),
+            "resume" => self.resume().map(Value::from),
             "log" => {
                 let level: Level =
                     serde_json::from_value(args["level"].clone()).map_err(|e| format!("level: {e}"))?;
@@ -282,6 +313,63 @@
         }
     }
 
+    /// The figures, by their names.
+    fn counters(&self) -> Value {
+        let mut all = serde_json::Map::new();
+        let mut put = |name: String, n: u64| drop(all.insert(format!("edge_relay.{name}"), n.into()));
+        for (class, counts) in self.front.counts() {
+            put(format!("handled.{class}.passed"), counts.passed);
+            put(format!("handled.{class}.dropped"), counts.dropped);
+            put(format!("handled.{class}.bad_gateway"), counts.bad_gateway);
+        }
+        put("upstream_tries".into(), self.members.written);
+        put("in_progress".into(), self.front.open() as u64);
+        put("known_cache_nodes".into(), self.members.listed().count() as u64);
+        put(
+            "skipped_cache_nodes".into(),
+            self.members.listed().filter(|m| self.front.avoids(*m)).count() as u64,
+        );
+        all.into()
+    }
+
+    /// Takes a member out by hand, or gives it back. Only one that is or was listed can be meant.
+    fn by_hand(&mut self, now: Time, args: &Value, out: bool) -> Result<Value, String> {
+        let text = args["node"].as_str().ok_or("node: missing")?;
+        let id = member_id(text).ok_or("node: not s- and 8 hex digits")?;
+        let known = self.members.listed().any(|listed| listed == id) || self.front.avoids(id);
+        if !known {
+            return Err(format!("{text}: unknown"));
+        }
+        tracing::info!(kind = "by-hand", member = text, out, "cache node by hand");
+        self.front.by_hand(now, id, out);
+        self.settle(now, Vec::new());
+        Ok(if out { "out" } else { "may serve" }.into())
+    }
+
+    /// Empties the front: clients are told to go elsewhere, what is taken is answered.
+    fn quiesce(&mut self, now: Time) -> &'static str {
+        if self.quiesced.is_none() {
+            tracing::info!(kind = "quiesce", clients = self.clients.len(), "quiesced");
+            self.quiesced = Some(now);
+            self.clients.leave(now, true);
+            self.deadlines.add(now + QUIESCE_SERVES, Due::Quiesced);
+            self.settle(now, Vec::new());
+        }
+        "quiesced"
+    }
+
+    fn resume(&mut self) -> Result<&'static str, String> {
+        if self.leaving.is_some() {
+            return Err("leaving: another process takes over".into());
+        }
+        if self.quiesced.take().is_some() {
+            tracing::info!(kind = "quiesce", "takes clients again");
+            self.clients.resume();
+            self.front.close(false);
+        }
+        Ok("takes clients")
+    }
+
     /// Serves until it has left.
     pub fn run(mut self) -> Result<(), String> {
         while !self.turn()? {}
@@ -296,8 +384,14 @@
         let now = self.clock.now();
         // What the feed tells is heeded before anything is sent in the same turn; new connections come last, since
         // room for them is made by closing those of which nothing was read yet.
-        // Open connections come before subsystems.
-        events.sort_by_key(|(key, ..)| (*key == LISTENER, slot_of(*key), !self.feed.is(*key)));
+        // Operators come before clients, and open connections before other subsystems.
+        let rank = |key: usize| match slot_of(key) {
+            slot if slot > 0 && slot == self.first => 1,
+            slot if slot > 0 => 2 + slot,
+            _ if self.feed.is(key) => 0,
+            _ => 2,
+        };
+        events.sort_by_key(|(key, ..)| (*key == LISTENER, rank(*key)));
         for (key, readable, writable) in events {
             self.event(now, key, readable, writable);
         }
@@ -376,24 +470,35 @@
                 }
                 self.hear(now, gone);
                 self.members.sweep(now, &mut ends);
-                self.listen(true);
+                self.listen(!self.hands_over());
                 self.deadlines.add(now + SWEEP, Due::Sweep);
             }
+            Due::Quiesced => {
+                if self.quiesced.is_some_and(|since| now >= since + QUIESCE_SERVES) {
+                    self.front.close(true);
+                }
+            }
             Due::Leave => {
-                self.front.close();
+                self.front.close(true);
                 self.drivers.iter_mut().for_each(|(driver, _)| driver.leave());
             }
         }
         self.settle(now, ends);
     }
 
+    /// Whether another process accepts on the clients' socket now.
+    fn hands_over(&self) -> bool {
+        self.config.accept_fd.is_some() && self.leaving.is_some()
+    }
+
     fn listen(&mut self, on: bool) {
         // The listener is watched for as long as the program runs: this can't fail.
         let _ = self.listener.rewatch(on, false);
     }
 
     fn accept(&mut self, now: Time) {
-        for _ in 0..ACCEPTS_MOST {
+        // It may have been told of before it was left to another process.
+        for _ in 0..if self.hands_over() { 0 } else { ACCEPTS_MOST } {
             match self.listener.accept() {
                 Ok((socket, _)) => {
                     // Guards the descriptor limit. A connection without a request may be closed.
@@ -425,7 +530,8 @@
         if self.leaving.is_none() {
             tracing::info!("SIGTERM: leaving");
             self.leaving = Some(now);
-            self.clients.leave(now);
+            self.clients.leave(now, self.config.accept_fd.is_some());
+            self.listen(!self.hands_over());
             self.deadlines.add(now + LEAVE_WINDOW, Due::Leave);
             self.deadlines.add(now + LEAVE_WINDOW + LEAVE_MOST, Due::Leave);
         }
--- a/front/src/protocol/mod.rs
+++ b/front/src/protocol/mod.rs
@@ -4,6 +4,7 @@
 pub mod follow;
 pub mod known;
 pub mod member;
+pub mod ops;
 pub mod purge;
 
 /// Why a stream of bytes can't be read any further.
--- /dev/null
+++ b/front/src/protocol/ops.rs
@@ -0,0 +1,130 @@
+//! Operators' calls on the second address: one line a connection, and its answer.
+use super::Unreadable;
+use cranesill::api::MemberId;
+
+/// Bytes of a call at most, with its line end.
+pub const LINE_MOST: usize = 256;
+
+/// What an operator asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// Can this process serve?
+    Health,
+    /// The figures.
+    Counters,
+    /// Take a member out, by hand.
+    Cordon(MemberId),
+    /// A member may serve again.
+    Uncordon(MemberId),
+    /// Empty the front.
+    Quiesce,
+    /// Take clients again.
+    Resume,
+}
+
+/// The id of a member as it stands in text.
+pub fn member_id(text: &str) -> Option<MemberId> {
+    let digits =
+        text.strip_prefix("s-").filter(|d| d.len() == 8 && d.bytes().all(|b| b.is_ascii_hexdigit()))?;
+    u64::from_str_radix(digits, 16).ok().map(MemberId)
+}
+
+/// Reads the call that `input` holds. `None`: its line is not whole yet. `ended`: nothing more comes.
+pub fn decode(input: &[u8], ended: bool) -> Result<Option<Call>, Unreadable> {
+    let Some(end) = input.iter().position(|b| *b == b'\n') else {
+        return match input.len() {
+            n if n >= LINE_MOST => Err(Unreadable("the line is too long")),
+            n if n > 0 && ended => Err(Unreadable("the line has no end")),
+            _ => Ok(None),
+        };
+    };
+    let (line, rest) = (&input[..end], &input[end + 1..]);
+    if end >= LINE_MOST {
+        return Err(Unreadable("the line is too long"));
+    }
+    // No call does half of what was said: what comes behind it would be left undone.
+    if !rest.is_empty() {
+        return Err(Unreadable("one line a connection"));
+    }
+    let line = std::str::from_utf8(line).map_err(|_| Unreadable("the line is no text"))?;
+    let mut words = line.strip_suffix('\r').unwrap_or(line).split(' ').filter(|word| !word.is_empty());
+    let (word, id, more) = (words.next().unwrap_or_default(), words.next(), words.next());
+    let of = |call: fn(MemberId) -> Call| match id {
+        None => Err(Unreadable("ID is missing")),
+        Some(_) if more.is_some() => Err(Unreadable("a word too many")),
+        Some(id) => member_id(id).map(call).ok_or(Unreadable("ID is not s- and 8 hex digits")),
+    };
+    let plain = |call| if id.is_some() { Err(Unreadable("a word too many")) } else { Ok(call) };
+    match word {
+        "health" => plain(Call::Health),
+        "counters" => plain(Call::Counters),
+        "cordon" => of(Call::Cordon),
+        "uncordon" => of(Call::Uncordon),
+        "quiesce" => plain(Call::Quiesce),
+        "resume" => plain(Call::Resume),
+        _ => Err(Unreadable("no such call")),
+    }
+    .map(Some)
+}
+
+/// Writes the answer to a call: a word of its own, or lines and a last one of a point.
+pub fn answer(answer: Result<&str, &str>, lines: Option<&[String]>) -> Vec<u8> {
+    // What is told comes on one line whatever it holds.
+    let plain = |text: &str| text.replace(['\r', '\n'], " ");
+    let head = match answer {
+        Ok("") => "+OK".into(),
+        Ok(text) => format!("+OK {}", plain(text)),
+        Err(why) => format!("-ERR {}", plain(why)),
+    };
+    let mut out = head + "\n";
+    if let Some(lines) = lines {
+        lines.iter().for_each(|line| out += &(plain(line) + "\n"));
+        out += ".\n";
+    }
+    out.into_bytes()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_call_is_one_whole_line_and_all_else_is_told_why() {
+        let read = |bytes: &[u8], ended| match decode(bytes, ended) {
+            Ok(call) => format!("{call:?}"),
+            Err(Unreadable(why)) => why.to_string(),
+        };
+        let long = [b'x'; LINE_MOST];
+        let all: [(&[u8], bool); 20] = [
+            (b"", false),
+            (b"", true),
+            (b"heal", false),
+            (b"heal", true),
+            (b"health\n", false),
+            (b"health\r\n", true),
+            (b"counters\n", false),
+            (b"cordon s-00c41f7a\n", false),
+            (b"uncordon s-00C41F7A\n", false),
+            (b"quiesce\n", false),
+            (b"resume\n", false),
+            (b"cordon\n", false),
+            (b"cordon 00c41f7a\n", false),
+            (b"cordon s-00c41f7a s-00c41f7b\n", false),
+            (b"health now\n", false),
+            (b"HEALTH\n", false),
+            (b"\n", false),
+            (b"health\nresume\n", false),
+            (b"\xff\xfe\n", false),
+            (&long, false),
+        ];
+        let told: Vec<_> = all.iter().map(|(bytes, ended)| read(bytes, *ended)).collect();
+        insta::assert_debug_snapshot!(told);
+    }
+
+    #[test]
+    fn an_answer_is_one_line_or_ends_with_a_point() {
+        assert_eq!(answer(Ok(""), None), b"+OK\n");
+        assert_eq!(answer(Err("two\nlines"), None), b"-ERR two lines\n");
+        assert_eq!(answer(Ok(""), Some(&["a=1".into(), "b=2".into()])), b"+OK\na=1\nb=2\n.\n");
+    }
+}
--- a/front/src/routing/admit.rs
+++ b/front/src/routing/admit.rs
@@ -11,15 +11,16 @@
         let (from, txn) = (open.from, open.ask.txn);
         // Two open requests under one id could not be told apart at a member.
         if self.by_txn.contains_key(&txn) || self.asked.contains_key(&from) {
-            return self.answer(from, Answer::Failed);
+            return self.answer(from, Some(open.class), Answer::Failed);
         }
         // Guards the memory limit: each open request will come to hold an answer. Full size for each would turn
         // away requests that there is room for; what comes larger is guarded against by holding back members.
         let expected = (self.open.len() as f64 * self.answer_bytes) as usize;
-        if self.open.len() >= self.room.open || self.held + expected > self.room.bytes {
-            let line = format!("no room: {} requests open, {} bytes held", self.open.len(), self.held);
+        if self.closed || self.open.len() >= self.room.open || self.held + expected > self.room.bytes {
+            let why = if self.closed { "closed" } else { "no room" };
+            let line = format!("{why}: {} requests open, {} bytes held", self.open.len(), self.held);
             self.commands.push_back(Command::Log(line));
-            return self.answer(from, Answer::Refused(self.later()));
+            return self.answer(from, Some(open.class), Answer::Refused(self.later()));
         }
         let id = request.id;
         self.asked.insert(from, id);
--- a/front/src/routing/mod.rs
+++ b/front/src/routing/mod.rs
@@ -28,6 +28,7 @@
     from: ReplyTo,
     ask: Rc<Ask>,
     deadline: Time,
+    class: usize,
     /// Its class runs at the origin and leaves no copy.
     write: bool,
     /// Attempts sent so far.
@@ -72,6 +73,10 @@
     /// Moving average of what an answer takes up.
     answer_bytes: f64,
     last: u64,
+    /// Final answers, by class.
+    counts: Vec<Counts>,
+    /// Everything new is refused.
+    closed: bool,
     actions: Vec<Action>,
     commands: VecDeque<Command>,
     /// Where the daemon's own purges are on.
@@ -87,6 +92,8 @@
     pub fn new(deployment: Deployment, seed: u64, room: Room) -> Self {
         Front {
             router: Router::new(deployment.settings.clone(), seed),
+            counts: vec![Counts::default(); deployment.settings.classes.len()],
+            closed: false,
             deployment,
             room,
             open: HashMap::new(),
@@ -119,9 +126,19 @@
         self.held = bytes;
     }
 
-    /// From now on everything new is refused.
-    pub fn close(&mut self) {
-        self.room.open = 0;
+    /// From now on everything new is refused, or no longer.
+    pub fn close(&mut self, closed: bool) {
+        self.closed = closed;
+    }
+
+    /// Final answers so far: each class with its counts.
+    pub fn counts(&self) -> impl Iterator<Item = (&str, &Counts)> {
+        self.deployment.names.classes.iter().map(String::as_str).zip(&self.counts)
+    }
+
+    /// Whether the decisions avoid a listed member now.
+    pub fn avoids(&self, member: MemberId) -> bool {
+        self.router.avoids(member)
     }
 
     /// How long a client is asked to stay away when the front itself has no room.
--- a/front/src/routing/relay.rs
+++ b/front/src/routing/relay.rs
@@ -17,20 +17,28 @@
 
     /// Gives the final answer, if it is still owed.
     pub(super) fn conclude(&mut self, id: RequestId, answer: Answer) {
-        if let Some(from) = self.forget(id) {
-            self.answer(from, answer);
+        if let Some(Open { from, class, .. }) = self.forget(id) {
+            self.answer(from, Some(class), answer);
         }
     }
 
-    pub(super) fn answer(&mut self, to: ReplyTo, answer: Answer) {
+    /// Every final answer passes here and is counted; one to a request of no known class is in no count.
+    pub(super) fn answer(&mut self, to: ReplyTo, class: Option<usize>, answer: Answer) {
+        if let Some(counts) = class.and_then(|class| self.counts.get_mut(class)) {
+            match answer {
+                Answer::Served(_) | Answer::Same => counts.passed += 1,
+                Answer::Refused(_) => counts.dropped += 1,
+                Answer::Failed => counts.bad_gateway += 1,
+            }
+        }
         self.commands.push_back(Command::Answer(to, answer));
     }
 
-    /// Nothing more is owed for a request: who asked for it, if it was open.
-    pub(super) fn forget(&mut self, id: RequestId) -> Option<ReplyTo> {
+    /// Nothing more is owed for a request; what it was, if it was open.
+    pub(super) fn forget(&mut self, id: RequestId) -> Option<Open> {
         let open = self.open.remove(&id)?;
         self.asked.remove(&open.from);
         self.by_txn.remove(&open.ask.txn);
-        Some(open.from)
+        Some(open)
     }
 }
--- a/front/src/routing/route.rs
+++ b/front/src/routing/route.rs
@@ -38,6 +38,11 @@
         self.tell(now, Event::Purged(object, group, now.saturating_sub(at)));
     }
 
+    /// An operator takes a member out, or gives it back.
+    pub fn by_hand(&mut self, now: Time, member: MemberId, out: bool) {
+        self.tell(now, Event::ByHand(member, out));
+    }
+
     /// A moment that the stages asked to be woken at has come.
     pub fn wake(&mut self, now: Time, wake: Wake) {
         match wake {
--- a/front/src/routing/take_in.rs
+++ b/front/src/routing/take_in.rs
@@ -12,7 +12,7 @@
         let write = class.is_some_and(|c| self.deployment.settings.classes[c].write);
         // Only what runs at the origin can do without an object.
         let Some(class) = class.filter(|_| write || ask.item.is_some()) else {
-            return self.answer(from, Answer::Failed);
+            return self.answer(from, None, Answer::Failed);
         };
         // A client that claims to wait for weeks would have its deadlines remembered for as long.
         let most = Some(self.deployment.limits.waits[class]).filter(|most| *most > 0);
@@ -28,13 +28,15 @@
             size_kb: 0.0,
             left: deadline - now,
         };
-        self.admit(now, Open { from, ask: Rc::new(ask), deadline, write, sent: 0 }, request);
+        self.admit(now, Open { from, ask: Rc::new(ask), deadline, class, write, sent: 0 }, request);
     }
 
     /// Nobody waits for this stream any more.
     pub fn gone(&mut self, now: Time, from: ReplyTo) {
         if let Some(id) = self.asked.get(&from).copied() {
-            self.forget(id);
+            if let Some(counts) = self.forget(id).and_then(|open| self.counts.get_mut(open.class)) {
+                counts.left += 1;
+            }
             self.tell(now, cranesill::api::Event::Gone(id));
         }
     }
--- a/front/src/routing/types.rs
+++ b/front/src/routing/types.rs
@@ -67,6 +67,19 @@
     Failed,
 }
 
+/// Final answers of a class, as operators are told of them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Requests served.
+    pub passed: u64,
+    /// Requests refused.
+    pub dropped: u64,
+    /// Requests failed.
+    pub bad_gateway: u64,
+    /// Requests of which nobody waited for the answer any more.
+    pub left: u64,
+}
+
 /// One attempt of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct AttemptId {
--- a/front/src/transport/mod.rs
+++ b/front/src/transport/mod.rs
@@ -8,5 +8,5 @@
 pub use clock::Clock;
 pub use deadlines::Deadlines;
 pub use reactor::{Reactor, Registered};
-pub use stream::{dial, listen, Outgoing, Stream};
+pub use stream::{dial, inherited, listen, Outgoing, Stream};
 pub use workers::Workers;
--- a/front/src/transport/stream.rs
+++ b/front/src/transport/stream.rs
@@ -319,6 +319,27 @@
     Ok(socket.into())
 }
 
+/// Takes over a listening TCP socket that was open under this number when the program began. The error says what it is
+/// instead. Whoever else holds it accepts from it too: what one does not take the other may.
+#[allow(unsafe_code)]
+pub fn inherited(fd: i32) -> Result<TcpListener, String> {
+    // 0 to 2 are the program's own; what is not open would be whatever is opened next.
+    // SAFETY: the call takes numbers alone, and tells whether this one is open.
+    if fd < 3 || unsafe { libc::fcntl(fd, libc::F_GETFD) } < 0 {
+        return Err("it is not open".into());
+    }
+    // SAFETY: it is open, nothing of this program has opened it, and who started the program has given it away.
+    let socket = unsafe { <Socket as std::os::fd::FromRawFd>::from_raw_fd(fd) };
+    let failed = |e: io::Error| format!("no listening TCP socket: {e}");
+    let stream = socket.r#type().map_err(failed)? == Type::STREAM;
+    let internet = [Domain::IPV4, Domain::IPV6].contains(&socket.domain().map_err(failed)?);
+    if !stream || !internet || !socket.is_listener().map_err(failed)? {
+        return Err("no listening TCP socket".into());
+    }
+    socket.set_cloexec(true).and_then(|()| socket.set_nonblocking(true)).map_err(failed)?;
+    Ok(socket.into())
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/src/api.rs
+++ b/src/api.rs
@@ -291,6 +291,8 @@
     Timer(u64),
     /// An object, or with `None` a whole group, was purged this long ago.
     Purged(Option<ObjectId>, u32, Span),
+    /// An operator takes a member out (`true`), or gives it back.
+    ByHand(MemberId, bool),
 }
 
 /// Where a miss is filled from, and what happens with the copy.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -212,6 +212,7 @@
                 let keep = self.settings.purge_done + PURGE_SLACK;
                 self.purges.note(object, group, now.saturating_sub(age), now.saturating_sub(keep));
             }
+            Event::ByHand(member, out) => self.by_hand(member, out),
         }
         actions.append(&mut self.out);
     }
@@ -271,6 +272,26 @@
         }
     }
 
+    /// An operator takes a member out, or gives it back; the list has no say in it. What comes back was
+    /// restarted: it is cold, and neither an old failure nor an old answer says anything of it.
+    fn by_hand(&mut self, id: MemberId, out: bool) {
+        if !self.members.set_by_hand(id, out) {
+            return;
+        }
+        if let Some(at) = self.members.find(id).filter(|_| !out) {
+            let (now, member) = (self.now, &mut self.members[at]);
+            member.cold_since = now;
+            (member.budget, member.health) = (Bucket::new(now), Health { changed: now, ..Health::default() });
+        }
+        self.members_changed(ListKind::Delta, Vec::new());
+        self.release(Spot::Cache);
+    }
+
+    /// Whether a listed member is avoided now: out by hand, draining, DOWN, or SUSPECT with its probes out.
+    pub fn avoids(&self, id: MemberId) -> bool {
+        self.members.is_by_hand(id) || self.members.find(id).is_some_and(|at| !self.usable(at))
+    }
+
     // ----------------------------------------------------------------------------------------- placement
     /// Routers that send to members of a role: those of the zone to its caches, all to the others.
     fn routers(&self, role: Role) -> u32 {
@@ -512,7 +533,9 @@
     fn release(&mut self, spot: Spot) {
         let open = |router: &Self| match spot {
             Spot::Cache => {
-                router.members.ready(Role::Cache).iter().any(|&at| router.usable(at) && router.room(at))
+                let caches = router.members.ready(Role::Cache).iter();
+                let mut fit = caches.filter(|at| router.usable(**at)).peekable();
+                fit.peek().is_none() || fit.any(|at| router.room(*at))
             }
             Spot::Member(at) => router.room(at) || !router.usable(at),
             Spot::Link => router.link.room(router.now),
@@ -527,8 +550,7 @@
     }
 
     fn usable(&self, at: usize) -> bool {
-        let member = &self.members[at];
-        member.listed.state == Listed::Ready && member.health.selectable(self.now)
+        self.members.is_ready(at) && self.members[at].health.selectable(self.now)
     }
 
     /// Rule of effects: what may have run is repeated only as its class allows.
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,7 +2,7 @@
 use crate::api::*;
 use crate::parts::Bucket;
 use crate::policy::Health;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::ops::{Index, IndexMut};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -125,6 +125,8 @@
     free: Vec<usize>,
     /// Places of the members that are listed as ready, by role, in the order of their ids.
     usable: [Vec<usize>; 3],
+    /// Members that operators took out: by id, since each outlives its place in the list.
+    by_hand: BTreeSet<MemberId>,
 }
 
 impl Roster {
@@ -132,7 +134,26 @@
         self.index.get(&member).copied()
     }
 
-    /// The members of a role that are listed as ready.
+    /// Takes a member out by hand, or gives it back. Whether that changes anything.
+    pub fn set_by_hand(&mut self, member: MemberId, out: bool) -> bool {
+        if out {
+            self.by_hand.insert(member)
+        } else {
+            self.by_hand.remove(&member)
+        }
+    }
+
+    pub fn is_by_hand(&self, member: MemberId) -> bool {
+        self.by_hand.contains(&member)
+    }
+
+    /// Whether a member is listed as ready, and no operator took it out.
+    pub fn is_ready(&self, at: usize) -> bool {
+        let listed = &self.all[at].listed;
+        listed.state == Listed::Ready && !self.is_by_hand(listed.member)
+    }
+
+    /// The members of a role that are listed as ready and not out by hand.
     pub fn ready(&self, role: Role) -> &[usize] {
         &self.usable[role as usize]
     }
@@ -160,7 +181,7 @@
         self.usable = Default::default();
         for &at in &known {
             let Member { listed, role, pace, .. } = &self.all[at];
-            if listed.state == Listed::Ready {
+            if self.is_ready(at) {
                 self.usable[*role as usize].push(at);
             } else if listed.state == Listed::Gone && pace.held == 0 {
                 self.index.remove(&listed.member);
--- /dev/null
+++ b/tests/by_hand.rs
@@ -0,0 +1,90 @@
+//! Members that operators take out: whatever the list says meanwhile, and whatever was planned before.
+mod common;
+use common::*;
+use cranesill::api::*;
+
+/// Members that a hundred requests for different objects name.
+fn named(stand: &mut Stand, from: u64) -> std::collections::BTreeSet<u64> {
+    let mut named = std::collections::BTreeSet::new();
+    for id in from..from + 100 {
+        for sent in stand.ask(ask(id, id)) {
+            named.extend([sent.target].into_iter().chain(sent.source));
+            stand.served(&sent);
+        }
+        stand.advance(20 * MS);
+    }
+    named
+}
+
+#[test]
+fn a_member_that_is_out_is_neither_asked_nor_a_source_whatever_the_list_says() {
+    let mut stand = Stand::new(settings(), usual());
+    stand.tell(Event::ByHand(MemberId(10), true));
+    stand.tell(Event::ByHand(MemberId(20), true));
+    assert_eq!(named(&mut stand, 1), [11, 12, 21].into());
+    // It leaves the list and returns, alone and with the whole list.
+    let gone = Entry { state: Listed::Gone, ..entry(10, CACHE) };
+    stand.tell(Event::Members(ListKind::Delta, vec![gone]));
+    stand.tell(Event::Members(ListKind::Delta, vec![entry(10, CACHE)]));
+    assert_eq!(named(&mut stand, 1_001), [11, 12, 21].into());
+    stand.tell(Event::Members(ListKind::Full, usual()));
+    assert_eq!(named(&mut stand, 2_001), [11, 12, 21].into());
+    assert!(stand.router.avoids(MemberId(10)) && !stand.router.avoids(MemberId(11)));
+    assert_eq!(stand.checker.broken, Vec::<String>::new());
+}
+
+#[test]
+fn one_call_back_undoes_two_calls_out_and_what_comes_back_is_cold() {
+    let mut stand = Stand::new(settings(), usual());
+    stand.tell(Event::ByHand(MemberId(10), true));
+    stand.tell(Event::ByHand(MemberId(10), true));
+    stand.advance(3 * S);
+    stand.tell(Event::ByHand(MemberId(10), false));
+    assert!(!stand.router.avoids(MemberId(10)));
+    // The checker holds it to the limits of one that started now.
+    assert!(named(&mut stand, 1).contains(&10), "it is used again within two seconds");
+    assert_eq!(stand.checker.broken, Vec::<String>::new());
+}
+
+#[test]
+fn a_member_that_is_back_is_judged_by_what_it_does_from_then_on() {
+    let mut stand = Stand::new(settings(), vec![entry(10, CACHE), entry(20, PARENT), entry(30, ORIGIN)]);
+    for id in 1..=4 {
+        let mut next = stand.ask(ask(id, id));
+        while let Some(sent) = next.first().cloned() {
+            next = stand.end(&sent, Status::ConnectFailed, Note::None, 0);
+        }
+    }
+    assert!(stand.router.avoids(MemberId(10)), "it is DOWN");
+    let sent = stand.live();
+    stand.tell(Event::ByHand(MemberId(10), true));
+    stand.tell(Event::ByHand(MemberId(10), false));
+    assert!(!stand.router.avoids(MemberId(10)), "not DOWN by what its old process did");
+    // What was sent to the old one fails now: that says nothing of the new one either.
+    for sent in sent {
+        stand.end(&sent, Status::Reset, Note::None, 0);
+    }
+    assert!(!stand.router.avoids(MemberId(10)));
+}
+
+#[test]
+fn with_all_of_a_kind_out_requests_go_on_by_what_is_left_or_are_answered_at_once() {
+    let direct = Settings { direct: true, ..settings() };
+    let mut stand = Stand::new(direct, usual());
+    [20, 21].map(|id| stand.tell(Event::ByHand(MemberId(id), true)));
+    assert!(named(&mut stand, 1).contains(&30), "without parents the origin fills");
+    [10, 11, 12].map(|id| stand.tell(Event::ByHand(MemberId(id), true)));
+    assert_eq!(named(&mut stand, 1_001), [30].into(), "without caches requests go straight to the origin");
+    stand.tell(Event::ByHand(MemberId(30), true));
+    assert!(named(&mut stand, 2_001).is_empty());
+    assert!(stand.answers.contains_key(&RequestId(2_001)), "with nothing left they are refused at once");
+    // Requests that wait for a member that is taken out are not left waiting.
+    let mut stand = Stand::new(settings(), usual());
+    let waiting: Vec<u64> = (1..=400).collect();
+    waiting.iter().for_each(|id| drop(stand.ask(ask(*id, 5))));
+    [10, 11, 12, 20, 21, 30].map(|id| stand.tell(Event::ByHand(MemberId(id), true)));
+    let sent: std::collections::BTreeSet<_> = stand.sent.iter().map(|s| s.request.0).collect();
+    let left = waiting.iter().filter(|id| !sent.contains(id));
+    assert!(left.clone().count() > 0, "some wait");
+    assert!(left.clone().all(|id| stand.answers.contains_key(&RequestId(*id))), "and are answered");
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -65,6 +65,10 @@
                 let age = dice.roll(400) * MS;
                 stand.tell(Event::Purged(object, dice.roll(4) as u32, age));
             }
+            10 if dice.roll(8) == 0 => {
+                let member = usual()[dice.roll(6) as usize].member;
+                stand.tell(Event::ByHand(member, dice.roll(6) == 0));
+            }
             _ => {
                 let live = stand.live();
                 let open: Vec<_> = live.iter().filter(|s| !stand.checker.closed(s.request)).collect();
@@ -166,6 +170,10 @@
     c.action(t, &attempt(10, 20, 0));
     broken(&c, "drained");
     let mut c = primed(0);
+    c.event(t, &Event::ByHand(MemberId(20), true));
+    c.action(t, &attempt(10, 20, 0));
+    broken(&c, "out by hand");
+    let mut c = primed(0);
     c.event(t, &Event::Purged(Some(ObjectId(5)), 0, 100 * MS));
     c.action(t, &attempt(10, 20, 200 * MS));
     broken(&c, "purged copy");
