Replace the process under load: the clients' socket changes hands by a lock

Change: program/shared.rs and its codec. One process accepts, the next once the lock is free; at SIGTERM the old one accepts nothing more, closes connections as they become free and waits for its clients; nodes out by hand are files that both read each 100 ms, and a yes is given 250 ms later; what was DOWN is SUSPECT to the new process; limits are halved while two live. Without RELAY_ACCEPT_FD nothing of it is there.

--- a/front/src/program/config.rs
+++ b/front/src/program/config.rs
@@ -32,6 +32,8 @@
     pub ops: Option<SocketAddr>,
     /// The clients' listening socket, where the platform holds it.
     pub accept_fd: Option<i32>,
+    /// Two processes of this front share its limits now.
+    pub halved: bool,
 }
 
 impl Config {
@@ -87,12 +89,17 @@
             deployment,
             ops,
             accept_fd,
+            halved: false,
         })
     }
 
+    fn processes(&self) -> usize {
+        1 + usize::from(self.halved)
+    }
+
     /// Connections of clients held at once.
     pub fn clients_most(&self) -> usize {
-        (self.sockets / 2).saturating_sub(self.reserved)
+        (self.sockets / 2).saturating_sub(self.reserved) / self.processes()
     }
 
     /// Takes descriptors for what the daemon's own settings switch on from those of clients.
@@ -122,17 +129,17 @@
 
     /// Connections to members held at once; what is left is for the feed, the poller and files.
     pub fn links_most(&self) -> usize {
-        self.sockets * 3 / 8
+        self.sockets * 3 / 8 / self.processes()
     }
 
     /// Room for requests: half of the memory, the rest is for input, the program and the allocator.
     pub fn room(&self) -> Room {
-        Room { open: self.deployment.limits.open, bytes: self.memory / 2 }
+        Room { open: self.deployment.limits.open, bytes: self.memory / 2 / self.processes() }
     }
 
     /// Bytes held for clients from which on those are given up that hold most: members were held back before.
     pub fn held_most(&self) -> usize {
-        self.memory * 5 / 8
+        self.memory * 5 / 8 / self.processes()
     }
 
     /// One line on what is asked for.
--- a/front/src/program/members.rs
+++ b/front/src/program/members.rs
@@ -121,6 +121,12 @@
         }
     }
 
+    /// From now on so many connections are held at most; one that carries nothing for `idle` is closed.
+    pub fn limit(&mut self, links_most: usize, idle: Option<Span>) {
+        self.links_most = links_most;
+        self.idle = idle.unwrap_or(self.idle);
+    }
+
     /// Whether this is a connection to a member.
     pub fn has(&self, key: usize) -> bool {
         self.links.contains_key(&key)
--- a/front/src/program/mod.rs
+++ b/front/src/program/mod.rs
@@ -14,6 +14,7 @@
 mod purges;
 mod replicas;
 mod serve;
+mod shared;
 mod tls;
 
 pub use cli::run;
--- a/front/src/program/serve.rs
+++ b/front/src/program/serve.rs
@@ -9,8 +9,10 @@
 use super::members::{Ends, Members};
 use super::ops::Ops;
 use super::purges::Purges;
+use super::shared::Shared;
 use super::tls::Tls;
 use crate::protocol::feed::{Listing, News};
+use crate::protocol::member::name_of;
 use crate::protocol::ops::member_id;
 use crate::routing::{Answer, AttemptId, Command, End, Floors, Front, Wake};
 use crate::transport::{inherited, listen, Clock, Deadlines, Reactor, Registered};
@@ -19,7 +21,7 @@
 use cranesill_purges::contact::{Contact, Without};
 use cranesill_purges::shield::Shield;
 use serde_json::{json, Value};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::TcpListener;
 use std::os::unix::net::UnixStream;
@@ -36,6 +38,15 @@
 const LEAVE_WINDOW: Span = 1_000_000;
 /// A front that is emptied serves what is asked on open connections for this long; then it refuses.
 const QUIESCE_SERVES: Span = 1_500_000;
+/// A process that waits for another to leave the clients' socket to it looks this often, and for members out by hand
+/// that the other has heard of. A yes to a call out is given once the other has looked.
+const TAKE_OVER: Span = 10_000;
+const LOOK: Span = 100_000;
+const SEEN: Span = 250_000;
+/// A process that leaves the socket to another closes connections to members that carry nothing for this long.
+const LINK_IDLE: Span = 500_000;
+/// Such a process waits for its clients to close for this long.
+const HAND_OVER_MOST: Span = 2_800_000;
 /// After SIGTERM the program ends then, whatever is not done.
 const LEAVE_MOST: Span = 15_000_000;
 /// Connections accepted in one turn.
@@ -51,6 +62,12 @@
     Sweep,
     Leave,
     Quiesced,
+    /// Another process may have left the clients' socket to this one.
+    TakeOver,
+    /// Another process may have heard of members out by hand.
+    Look,
+    /// An operator's call is answered.
+    Yes(u64),
 }
 
 /// One front on its sockets.
@@ -69,6 +86,12 @@
     log: Log,
     last_key: usize,
     leaving: Option<Time>,
+    /// Where the platform starts a new process beside the old.
+    shared: Option<Shared>,
+    /// Whether this process accepts clients.
+    accepts: bool,
+    /// Members out by hand, as last seen in what is shared.
+    out: BTreeSet<MemberId>,
     /// Since when it is emptied.
     quiesced: Option<Time>,
     /// The driver that goes before clients: operators' calls are due whatever the load.
@@ -111,6 +134,7 @@
         let listener = reactor.watch(listener, LISTENER, false).map_err(failed("poller"))?;
         let term = raised(&reactor, signal_hook::consts::SIGTERM, TERM).map_err(failed("signals"))?;
         let hangup = raised(&reactor, signal_hook::consts::SIGHUP, HANGUP).map_err(failed("signals"))?;
+        let shared = config.accept_fd.and_then(|_| share());
         let limits = config.deployment.limits.clone();
         let (last, known) = std::mem::take(&mut config.known);
         let mut server = Server {
@@ -122,6 +146,9 @@
             log,
             last_key: KEYS,
             leaving: None,
+            shared,
+            accepts: true,
+            out: BTreeSet::new(),
             quiesced: None,
             first: 0,
             daemon,
@@ -141,6 +168,8 @@
         tracing::info!(name = server.config.name, %at, "listening");
         server.drivers(now)?;
         known.into_iter().for_each(|news| server.news(now, news));
+        server.take_over(now, true);
+        server.look(now);
         server.deadlines.add(now, Due::Feed);
         server.deadlines.add(now + SWEEP, Due::Sweep);
         Ok(server)
@@ -240,8 +269,13 @@
                         }
                     }
                     Effect::Word(number, word, args) if WORDS.iter().any(|(w, _)| *w == word) => {
-                        let answer = self.word(now, &word, &args);
-                        self.effects.push(Effect::Answer(number, answer));
+                        match self.word(now, &word, &args) {
+                            // Another process of this front is to act on it before the operator is told that it counts.
+                            Ok(_) if word == "cordon" && self.shared.is_some() => {
+                                self.deadlines.add(now + SEEN, Due::Yes(number))
+                            }
+                            answer => self.effects.push(Effect::Answer(number, answer)),
+                        }
                     }
                     effect => {
                         for slot in 1..=self.drivers.len() {
@@ -340,12 +374,66 @@
         if !known {
             return Err(format!("{text}: unknown"));
         }
-        tracing::info!(kind = "by-hand", member = text, out, "cache node by hand");
-        self.front.by_hand(now, id, out);
+        if let Some(shared) = &self.shared {
+            shared.set_out(id, out).map_err(|e| format!("{text}: it can't be kept: {e}"))?;
+        }
+        self.set_by_hand(now, id, out);
         self.settle(now, Vec::new());
         Ok(if out { "out" } else { "may serve" }.into())
     }
 
+    fn set_by_hand(&mut self, now: Time, id: MemberId, out: bool) {
+        let changed = if out { self.out.insert(id) } else { self.out.remove(&id) };
+        if changed {
+            tracing::info!(kind = "by-hand", member = name_of(id), out, "cache node by hand");
+            self.front.by_hand(now, id, out);
+        }
+    }
+
+    /// Looks which members are out by hand: another process of this front may have been told.
+    fn look(&mut self, now: Time) {
+        let Some(shared) = &mut self.shared else { return };
+        match shared.out() {
+            Ok(out) => {
+                let changed: Vec<_> = out.symmetric_difference(&self.out).copied().collect();
+                changed.into_iter().for_each(|id| self.set_by_hand(now, id, out.contains(&id)));
+            }
+            Err(error) => tracing::warn!(kind = "by-hand", %error, "what is shared can't be read"),
+        }
+        self.deadlines.add(now + LOOK, Due::Look);
+    }
+
+    /// Accepts clients once no other process of this front does, and uses all of its limits once none is left.
+    fn take_over(&mut self, now: Time, first: bool) {
+        let Some(shared) = &mut self.shared else { return };
+        if self.leaving.is_some() {
+            return;
+        }
+        let (accepts, alone) = (shared.accepts(), shared.alone());
+        if accepts && (first || !self.accepts) {
+            let learned = shared.learned(now);
+            tracing::info!(kind = "upgrade", learned = learned.len(), "accepts clients");
+            self.front.learn(now, learned);
+        }
+        if first && !accepts {
+            tracing::info!(kind = "upgrade", "waits for another process to leave the clients' socket");
+        }
+        self.accepts = accepts;
+        self.halve(!alone);
+        self.listen(true);
+        if !accepts || !alone {
+            self.deadlines.add(now + TAKE_OVER, Due::TakeOver);
+        }
+    }
+
+    /// Shares the limits with another process of this front, or no longer.
+    fn halve(&mut self, halved: bool) {
+        if std::mem::replace(&mut self.config.halved, halved) != halved {
+            self.members.limit(self.config.links_most(), self.leaving.map(|_| LINK_IDLE));
+            self.front.set_room(self.config.room());
+        }
+    }
+
     /// Empties the front: clients are told to go elsewhere, what is taken is answered.
     fn quiesce(&mut self, now: Time) -> &'static str {
         if self.quiesced.is_none() {
@@ -408,7 +496,9 @@
         self.effects(now);
         self.members.pause(now, self.clients.held() > self.config.room().bytes);
         let since = self.leaving.filter(|since| now >= since + LEAVE_WINDOW);
-        let done = self.front.open() == 0 && self.clients.flushed();
+        let closed = self.shared.is_none() || self.clients.len() == 0;
+        let closed = closed || self.leaving.is_some_and(|since| now >= since + HAND_OVER_MOST);
+        let done = self.front.open() == 0 && self.clients.flushed() && closed;
         Ok(since.is_some_and(|since| done || now >= since + LEAVE_MOST))
     }
 
@@ -470,9 +560,15 @@
                 }
                 self.hear(now, gone);
                 self.members.sweep(now, &mut ends);
-                self.listen(!self.hands_over());
+                self.listen(true);
                 self.deadlines.add(now + SWEEP, Due::Sweep);
             }
+            Due::TakeOver => self.take_over(now, false),
+            Due::Look => self.look(now),
+            Due::Yes(number) => {
+                self.effects.push(Effect::Answer(number, Ok("out".into())));
+                self.effects(now);
+            }
             Due::Quiesced => {
                 if self.quiesced.is_some_and(|since| now >= since + QUIESCE_SERVES) {
                     self.front.close(true);
@@ -487,18 +583,20 @@
     }
 
     /// Whether another process accepts on the clients' socket now.
-    fn hands_over(&self) -> bool {
-        self.config.accept_fd.is_some() && self.leaving.is_some()
+    fn elsewhere(&self) -> bool {
+        !self.accepts || self.config.accept_fd.is_some() && self.leaving.is_some()
     }
 
+    /// Watches the listener, or lets it rest; while another process accepts it rests.
     fn listen(&mut self, on: bool) {
+        let on = on && !self.elsewhere();
         // The listener is watched for as long as the program runs: this can't fail.
         let _ = self.listener.rewatch(on, false);
     }
 
     fn accept(&mut self, now: Time) {
         // It may have been told of before it was left to another process.
-        for _ in 0..if self.hands_over() { 0 } else { ACCEPTS_MOST } {
+        for _ in 0..if self.elsewhere() { 0 } else { ACCEPTS_MOST } {
             match self.listener.accept() {
                 Ok((socket, _)) => {
                     // Guards the descriptor limit. A connection without a request may be closed.
@@ -531,7 +629,12 @@
             tracing::info!("SIGTERM: leaving");
             self.leaving = Some(now);
             self.clients.leave(now, self.config.accept_fd.is_some());
-            self.listen(!self.hands_over());
+            self.listen(true);
+            let learned = self.front.learned();
+            if let Some(shared) = &mut self.shared {
+                shared.hand_over(now, &learned);
+                self.halve(true);
+            }
             self.deadlines.add(now + LEAVE_WINDOW, Due::Leave);
             self.deadlines.add(now + LEAVE_WINDOW + LEAVE_MOST, Due::Leave);
         }
@@ -667,6 +770,18 @@
     }
 }
 
+/// The folder that the platform shares between the processes of this front. Without it a new process serves all the
+/// same.
+fn share() -> Option<Shared> {
+    let folder = std::env::var_os("TMPDIR").filter(|folder| !folder.is_empty());
+    let found = folder.ok_or_else(|| io::Error::other("TMPDIR is not set")).map(PathBuf::from);
+    let opened = found.and_then(|folder| Shared::new(&folder));
+    if let Err(error) = &opened {
+        tracing::warn!(kind = "upgrade", %error, "nothing is shared with another process: it accepts clients as well");
+    }
+    opened.ok()
+}
+
 /// What becomes readable when a signal comes.
 fn raised(reactor: &Reactor, signal: i32, key: usize) -> io::Result<Registered<UnixStream>> {
     let (read, write) = UnixStream::pair()?;
--- /dev/null
+++ b/front/src/program/shared.rs
@@ -0,0 +1,219 @@
+//! What the processes of one front share while a new one takes over from the old: two locks and a few small files in the
+//! folder that the platform gives to both.
+//!
+//! `accept` is locked by the process that accepts clients, `alive` by one that has no earlier process beside it any more.
+//! The system lets go of a lock when its process ends, however it ends: what a dead one left is told from a live one by
+//! that alone.
+//!
+//! All of it is tiny and in memory, so it is done on the loop: no call here waits for a disk or another process.
+use crate::protocol::shared::{learned, out_member, out_name, read_learned, LEARNED_MOST};
+use cranesill::api::{Learned, MemberId, Span, Time};
+use std::collections::BTreeSet;
+use std::fs::{self, File, TryLockError};
+use std::io::{self, Read};
+use std::path::{Path, PathBuf};
+
+/// What was learned longer ago than this says nothing of now.
+const LEARNED_FRESH: Span = 10_000_000;
+/// Members out by hand that are read at most.
+const OUT_MOST: usize = 4_096;
+/// Files with names of no meaning here that are told of in the log.
+const FOREIGN_TOLD: usize = 4;
+
+/// A lock that a process has or waits for.
+#[derive(Debug)]
+struct Lock {
+    file: File,
+    held: bool,
+}
+
+impl Lock {
+    fn new(path: &Path) -> io::Result<Self> {
+        let file = File::options().create(true).truncate(false).write(true).open(path)?;
+        Ok(Lock { file, held: false })
+    }
+
+    /// Takes it, if nobody has it.
+    fn take(&mut self) -> bool {
+        if !self.held {
+            self.held = match self.file.try_lock() {
+                Ok(()) => true,
+                Err(TryLockError::WouldBlock) => false,
+                // A file system without locks: better two that accept than none.
+                Err(TryLockError::Error(error)) => {
+                    tracing::warn!(kind = "upgrade", %error, "no locks: taken for free");
+                    true
+                }
+            };
+        }
+        self.held
+    }
+}
+
+/// The folder and the locks in it.
+#[derive(Debug)]
+pub struct Shared {
+    folder: PathBuf,
+    accept: Lock,
+    alive: Lock,
+    foreign: usize,
+}
+
+impl Shared {
+    /// Opens the folder, which is made if need be, in `parent`.
+    pub fn new(parent: &Path) -> io::Result<Self> {
+        let folder = parent.join("cranesill");
+        match fs::create_dir(&folder) {
+            Err(e) if e.kind() != io::ErrorKind::AlreadyExists => return Err(e),
+            _ => {}
+        }
+        let (accept, alive) = (Lock::new(&folder.join("accept"))?, Lock::new(&folder.join("alive"))?);
+        Ok(Shared { folder, accept, alive, foreign: 0 })
+    }
+
+    /// Whether this process accepts clients, from now on if not before.
+    pub fn accepts(&mut self) -> bool {
+        self.accept.take()
+    }
+
+    /// Whether no earlier process is left.
+    pub fn alone(&mut self) -> bool {
+        self.alive.take()
+    }
+
+    /// Leaves accepting to another process, with what was learned.
+    pub fn hand_over(&mut self, now: Time, members: &[Learned]) {
+        if !self.accept.held {
+            return;
+        }
+        let aside = self.folder.join(format!("learned.{}.tmp", std::process::id()));
+        let text = learned(now, members);
+        let text = if text.len() <= LEARNED_MOST { text } else { learned(now, &[]) };
+        let written = fs::write(&aside, text).and_then(|()| fs::rename(&aside, self.folder.join("learned")));
+        if let Err(error) = written {
+            tracing::warn!(kind = "upgrade", %error, "what was learned is not handed over");
+        }
+        if let Err(error) = self.accept.file.unlock() {
+            tracing::warn!(kind = "upgrade", %error, "the next process accepts only once this one has ended");
+        }
+        self.accept.held = false;
+    }
+
+    /// What an earlier process has learned lately. It is read once.
+    pub fn learned(&self, now: Time) -> Vec<Learned> {
+        let path = self.folder.join("learned");
+        let mut text = Vec::new();
+        let found = File::open(&path).and_then(|f| f.take(LEARNED_MOST as u64 + 1).read_to_end(&mut text));
+        match found {
+            Err(e) if e.kind() == io::ErrorKind::NotFound => return Vec::new(),
+            Err(error) => {
+                tracing::warn!(kind = "upgrade", %error, "what was learned can't be read");
+                return Vec::new();
+            }
+            Ok(_) => drop(fs::remove_file(&path)),
+        }
+        match read_learned(&text) {
+            Ok((at, members)) if at <= now && now <= at + LEARNED_FRESH => members,
+            Ok(_) => {
+                tracing::info!(kind = "upgrade", "what was learned is too old");
+                Vec::new()
+            }
+            Err(error) => {
+                tracing::warn!(kind = "upgrade", error, "what was learned is left aside");
+                Vec::new()
+            }
+        }
+    }
+
+    /// Notes that a member is out by hand, or no longer, for all processes of this front.
+    pub fn set_out(&self, member: MemberId, out: bool) -> io::Result<()> {
+        let path = self.folder.join(out_name(member));
+        if out {
+            File::create(path).map(drop)
+        } else {
+            fs::remove_file(path)
+                .or_else(|e| if e.kind() == io::ErrorKind::NotFound { Ok(()) } else { Err(e) })
+        }
+    }
+
+    /// The members that are out by hand. An error: it can't be told.
+    pub fn out(&mut self) -> io::Result<BTreeSet<MemberId>> {
+        let mut out = BTreeSet::new();
+        let mut foreign = 0;
+        for entry in fs::read_dir(&self.folder)?.take(OUT_MOST) {
+            let name = entry?.file_name();
+            let name = name.to_string_lossy();
+            match out_member(&name) {
+                Some(member) => drop(out.insert(member)),
+                None if ["accept", "alive", "learned"].contains(&&*name) || name.ends_with(".tmp") => {}
+                None => {
+                    foreign += 1;
+                    if foreign > self.foreign && foreign <= FOREIGN_TOLD {
+                        tracing::warn!(kind = "upgrade", file = %name, "a file of no meaning here");
+                    }
+                }
+            }
+        }
+        self.foreign = self.foreign.max(foreign);
+        Ok(out)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const NODE: MemberId = MemberId(0x00c4_1f7a);
+
+    #[test]
+    fn one_process_accepts_and_the_next_one_when_it_lets_go_or_dies() {
+        let folder = tempfile::tempdir().unwrap();
+        let mut all: Vec<_> = (0..3).map(|_| Shared::new(folder.path()).unwrap()).collect();
+        assert!(all[0].accepts() && all[0].alone());
+        assert!(!all[1].accepts() && !all[2].accepts());
+        all[0].hand_over(5, &[]);
+        assert!(all[1].accepts() && !all[2].accepts() && !all[0].accepts());
+        assert!(!all[1].alone(), "the first one still lives");
+        // Dropped, as the system drops the files of a process that was killed.
+        all.remove(0);
+        assert!(all[0].alone());
+        all.remove(0);
+        assert!(all[0].accepts() && all[0].alone());
+    }
+
+    #[test]
+    fn what_was_learned_is_read_once_and_while_it_is_fresh() {
+        let folder = tempfile::tempdir().unwrap();
+        let mut old = Shared::new(folder.path()).unwrap();
+        let new = Shared::new(folder.path()).unwrap();
+        let down = vec![Learned { member: NODE, started: 0, cold_since: 0, down: true, lost: false }];
+        let mut hand_over = |now| {
+            assert!(old.accepts());
+            old.hand_over(now, &down);
+        };
+        hand_over(5);
+        assert_eq!(new.learned(6), down);
+        assert!(new.learned(6).is_empty(), "it is read once");
+        hand_over(5);
+        assert!(new.learned(5 + LEARNED_FRESH + 1).is_empty(), "too old");
+        // Torn, or of the future: as if absent.
+        for text in ["cranesill learned v1 00000000\nat 5\n", "cranesill learned v2 00000000\n", "", "\u{7f}"]
+        {
+            fs::write(folder.path().join("cranesill/learned"), text).unwrap();
+            assert!(new.learned(6).is_empty());
+        }
+    }
+
+    #[test]
+    fn members_out_by_hand_are_seen_by_all_and_what_is_foreign_is_passed_over() {
+        let folder = tempfile::tempdir().unwrap();
+        let (old, mut new) = (Shared::new(folder.path()).unwrap(), Shared::new(folder.path()).unwrap());
+        old.set_out(NODE, true).unwrap();
+        old.set_out(NODE, true).unwrap();
+        fs::write(folder.path().join("cranesill/v2.out.s-00000001"), "").unwrap();
+        assert_eq!(new.out().unwrap(), [NODE].into());
+        new.set_out(NODE, false).unwrap();
+        new.set_out(NODE, false).unwrap();
+        assert!(new.out().unwrap().is_empty());
+    }
+}
--- a/front/src/protocol/mod.rs
+++ b/front/src/protocol/mod.rs
@@ -6,6 +6,7 @@
 pub mod member;
 pub mod ops;
 pub mod purge;
+pub mod shared;
 
 /// Why a stream of bytes can't be read any further.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- /dev/null
+++ b/front/src/protocol/shared.rs
@@ -0,0 +1,89 @@
+//! What the processes of one front leave for each other in a folder that they share: names of files that say it all, and
+//! one file of what was learned of members' health. No I/O here.
+use super::ops::member_id;
+use crate::protocol::member::name_of;
+use cranesill::api::{Learned, MemberId, Time};
+
+/// Of the form of these files; one of another version is as if absent.
+const VERSION: &str = "v1";
+/// Bytes of what was learned, at most: some thousand members.
+pub const LEARNED_MOST: usize = 256 * 1024;
+
+/// The file whose presence says that a member is out by hand.
+pub fn out_name(member: MemberId) -> String {
+    format!("{VERSION}.out.{}", name_of(member))
+}
+
+/// The member that a file of this name says is out by hand.
+pub fn out_member(name: &str) -> Option<MemberId> {
+    member_id(name.strip_prefix(VERSION)?.strip_prefix(".out.")?)
+}
+
+/// Writes what was learned up to a moment: a head with version and checksum, and a line for each member.
+pub fn learned(at: Time, members: &[Learned]) -> String {
+    let mut body = format!("at {at}\n");
+    for m in members {
+        let (down, lost) = (u8::from(m.down), u8::from(m.lost));
+        body += &format!("{} {} {} {down} {lost}\n", name_of(m.member), m.started, m.cold_since);
+    }
+    format!("cranesill learned {VERSION} {:08x}\n{body}", crc32fast::hash(body.as_bytes()))
+}
+
+/// Reads what was learned, and up to when. The error says why it is as if absent.
+pub fn read_learned(text: &[u8]) -> Result<(Time, Vec<Learned>), &'static str> {
+    let text = std::str::from_utf8(text).map_err(|_| "it is no text")?;
+    let (head, body) = text.split_once('\n').ok_or("it has no head")?;
+    let mut words = head.split(' ');
+    let head = [words.next(), words.next(), words.next()];
+    if head[..2] != [Some("cranesill"), Some("learned")] {
+        return Err("it is of something else");
+    }
+    if head[2] != Some(VERSION) {
+        return Err("it is of another version");
+    }
+    let sum = words.next().and_then(|sum| u32::from_str_radix(sum, 16).ok());
+    if sum != Some(crc32fast::hash(body.as_bytes())) {
+        return Err("its checksum is wrong");
+    }
+    let mut lines = body.lines();
+    let at = lines.next().and_then(|line| line.strip_prefix("at ")?.parse().ok()).ok_or("it has no time")?;
+    let member = |line: &str| {
+        let mut words = line.split(' ');
+        let number = |id: &mut std::str::Split<'_, char>| id.next()?.parse::<u64>().ok();
+        let member = member_id(words.next()?)?;
+        let (started, cold_since) = (number(&mut words)?, number(&mut words)?);
+        let (down, lost) = (number(&mut words)? == 1, number(&mut words)? == 1);
+        Some(Learned { member, started, cold_since, down, lost })
+    };
+    let members = lines.map(member).collect::<Option<_>>().ok_or("a line can't be read")?;
+    Ok((at, members))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_is_torn_foreign_or_of_the_future_is_told_apart_and_never_taken() {
+        let of =
+            |id: u64, down| Learned { member: MemberId(id), started: 7, cold_since: 9, down, lost: down };
+        let all = vec![of(0x11, true), of(0x12, false)];
+        let text = learned(5, &all);
+        assert_eq!(read_learned(text.as_bytes()), Ok((5, all)));
+        for cut in 0..text.len() {
+            assert!(read_learned(&text.as_bytes()[..cut]).is_err(), "cut after {cut}");
+        }
+        for at in 0..text.len() {
+            let mut bytes = text.clone().into_bytes();
+            bytes[at] ^= 1;
+            // A flipped bit in the checksum's own letter case is no other checksum.
+            assert!(read_learned(&bytes).is_err(), "byte {at}");
+        }
+        let future = text.replace("v1", "v2");
+        assert_eq!(read_learned(future.as_bytes()), Err("it is of another version"));
+        assert_eq!(out_member(&out_name(MemberId(0x00c41f7a))), Some(MemberId(0x00c41f7a)));
+        for name in ["v2.out.s-00c41f7a", "v1.out.s-00c41f7", "v1.out.s-00c41f7a~", "v1.in.s-00c41f7a", ""] {
+            assert_eq!(out_member(name), None, "{name}");
+        }
+    }
+}
--- a/front/src/routing/route.rs
+++ b/front/src/routing/route.rs
@@ -43,6 +43,21 @@
         self.tell(now, Event::ByHand(member, out));
     }
 
+    /// What the decisions have learned of members, for the next process.
+    pub fn learned(&self) -> Vec<cranesill::api::Learned> {
+        self.router.learned()
+    }
+
+    /// Takes over what an earlier process has learned.
+    pub fn learn(&mut self, now: Time, learned: Vec<cranesill::api::Learned>) {
+        self.tell(now, Event::Learned(learned));
+    }
+
+    /// Changes the room for requests.
+    pub fn set_room(&mut self, room: Room) {
+        self.room = room;
+    }
+
     /// A moment that the stages asked to be woken at has come.
     pub fn wake(&mut self, now: Time, wake: Wake) {
         match wake {
--- a/src/api.rs
+++ b/src/api.rs
@@ -274,6 +274,21 @@
     pub left: Span,
 }
 
+/// What one process of a router has learned of a member, for the next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Learned {
+    /// Which member.
+    pub member: MemberId,
+    /// When it started, as the list says: another process of it is another matter.
+    pub started: Time,
+    /// Since when it is cold; 0: it started long ago.
+    pub cold_since: Time,
+    /// It is DOWN, or was and has not proven itself since.
+    pub down: bool,
+    /// It went DOWN because no connection was made.
+    pub lost: bool,
+}
+
 /// What a router is told.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -293,6 +308,8 @@
     Purged(Option<ObjectId>, u32, Span),
     /// An operator takes a member out (`true`), or gives it back.
     ByHand(MemberId, bool),
+    /// What an earlier process of this router has learned.
+    Learned(Vec<Learned>),
 }
 
 /// Where a miss is filled from, and what happens with the copy.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -213,6 +213,7 @@
                 self.purges.note(object, group, now.saturating_sub(age), now.saturating_sub(keep));
             }
             Event::ByHand(member, out) => self.by_hand(member, out),
+            Event::Learned(all) => all.into_iter().for_each(|one| self.learn(one)),
         }
         actions.append(&mut self.out);
     }
@@ -287,6 +288,31 @@
         self.release(Spot::Cache);
     }
 
+    /// What is worth handing to the next process: who is DOWN or SUSPECT, and who is cold though not by the list.
+    pub fn learned(&self) -> Vec<Learned> {
+        let all = self.members.all().map(|m| Learned {
+            member: m.listed.member,
+            started: m.listed.started,
+            cold_since: m.cold_since,
+            down: m.health.down_since.is_some(),
+            lost: m.health.lost,
+        });
+        all.filter(|one| one.down || one.cold_since != one.started).collect()
+    }
+
+    /// Takes over what an earlier process learned of a member that has not started anew since. What was DOWN is
+    /// SUSPECT: it has to prove itself to this one.
+    fn learn(&mut self, one: Learned) {
+        let same = |at: &usize| self.members[*at].listed.started == one.started;
+        let Some(at) = self.members.find(one.member).filter(same) else { return };
+        let member = &mut self.members[at];
+        member.cold_since = member.cold_since.max(one.cold_since);
+        if one.down && member.health.down_since.is_none() {
+            member.health.down_since = Some(self.now.saturating_sub(FAIL_WINDOW));
+            member.health.lost = one.lost;
+        }
+    }
+
     /// Whether a listed member is avoided now: out by hand, draining, DOWN, or SUSPECT with its probes out.
     pub fn avoids(&self, id: MemberId) -> bool {
         self.members.is_by_hand(id) || self.members.find(id).is_some_and(|at| !self.usable(at))
--- a/src/state.rs
+++ b/src/state.rs
@@ -143,6 +143,11 @@
         }
     }
 
+    /// All members that are known, in the order of their ids.
+    pub fn all(&self) -> impl Iterator<Item = &Member> {
+        self.index.values().map(|at| &self.all[*at])
+    }
+
     pub fn is_by_hand(&self, member: MemberId) -> bool {
         self.by_hand.contains(&member)
     }
--- a/tests/by_hand.rs
+++ b/tests/by_hand.rs
@@ -88,3 +88,35 @@
     assert!(left.clone().count() > 0, "some wait");
     assert!(left.clone().all(|id| stand.answers.contains_key(&RequestId(*id))), "and are answered");
 }
+
+#[test]
+fn the_next_process_holds_for_suspect_what_this_one_held_for_down_and_for_cold_what_it_took_back() {
+    let members = || vec![entry(10, CACHE), entry(11, CACHE), entry(20, PARENT), entry(30, ORIGIN)];
+    let mut old = Stand::new(settings(), members());
+    old.tell(Event::ByHand(MemberId(11), true));
+    for id in 1..=4 {
+        let mut next = old.ask(ask(id, id));
+        while let Some(sent) = next.first().cloned() {
+            next = old.end(&sent, Status::ConnectFailed, Note::None, 0);
+        }
+    }
+    old.tell(Event::ByHand(MemberId(11), false));
+    let learned = old.router.learned();
+    let of = |id| *learned.iter().find(|one| one.member.0 == id).expect("learned");
+    assert!(of(10).down && of(10).lost && !of(11).down && of(11).cold_since == old.now);
+    let mut new = Stand::new(settings(), members());
+    new.now = old.now;
+    new.tell(Event::Learned(learned.clone()));
+    // SUSPECT: it is probed by one request and its further try, not by all.
+    let to_10: Vec<_> =
+        (1..=40).flat_map(|id| new.ask(ask(id, id))).filter(|sent| sent.target == 10).collect();
+    assert!((1..=2).contains(&to_10.len()), "{} probes", to_10.len());
+    new.end(&to_10[0], Status::ConnectFailed, Note::None, 0);
+    assert!(new.router.avoids(MemberId(10)), "one failure is enough");
+    // Of a member that has started anew since, it says nothing.
+    let mut new = Stand::new(settings(), members());
+    let anew = Entry { started: new.now - S, ..entry(10, CACHE) };
+    new.tell(Event::Members(ListKind::Delta, vec![anew]));
+    new.tell(Event::Learned(learned));
+    assert_eq!(new.router.learned().iter().filter(|one| one.member.0 == 10).count(), 0);
+}
