--- a/front/src/program/cli.rs
+++ b/front/src/program/cli.rs
@@ -4,7 +4,6 @@
 use super::serve::Server;
 use bpaf::{construct, long, positional, OptionParser, Parser};
 use cranesill_daemon::Daemon;
-use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -21,8 +20,8 @@
 #[derive(Clone, Debug)]
 struct Serve {
     settings: Option<PathBuf>,
-    ops: Option<SocketAddr>,
-    accept_fd: Option<i32>,
+    ops: Option<String>,
+    accept_fd: Option<String>,
     config: PathBuf,
 }
 
@@ -37,12 +36,12 @@
     let ops = long("ops")
         .help("Where operators call, if not as the configuration says")
         .env("RELAY_OPS")
-        .argument::<SocketAddr>("ADDRESS")
+        .argument::<String>("ADDRESS")
         .optional();
     let accept_fd = long("accept-fd")
         .help("The clients' listening socket, inherited under this number")
         .env("RELAY_ACCEPT_FD")
-        .argument::<i32>("N")
+        .argument::<String>("N")
         .optional();
     let serve = construct!(Serve { settings, ops, accept_fd, config }).map(Command::Serve);
     let serve = serve.to_options().descr("Serve clients until SIGTERM");
@@ -67,8 +66,17 @@
 fn serve(Serve { config, settings: own, ops, accept_fd }: Serve) -> Result<(), Vec<String>> {
     let mut config = Config::load(&config)?;
     let daemon = own.as_deref().map_or(Ok(Daemon::default()), settings)?;
-    config.ops = ops.or(config.ops);
-    config.accept_fd = accept_fd;
+    let mut faults = Vec::new();
+    if let Some(ops) = ops {
+        config.ops = ops.parse().map_err(|_| faults.push(format!("RELAY_OPS: no address: {ops}"))).ok();
+    }
+    if let Some(fd) = accept_fd {
+        config.accept_fd =
+            fd.parse().map_err(|_| faults.push(format!("RELAY_ACCEPT_FD: {fd}: no number"))).ok();
+    }
+    if !faults.is_empty() {
+        return Err(faults);
+    }
     config.reserve(&daemon).map_err(|e| vec![e])?;
     Server::new(config, daemon, own).and_then(Server::run).map_err(|e| vec![e])
 }
--- a/front/src/program/ops.rs
+++ b/front/src/program/ops.rs
@@ -48,7 +48,7 @@
         let listener =
             turn.reactor.watch(listen(at).map_err(failed)?, listener_key, false).map_err(failed)?;
         let at = listener.local_addr().map_err(failed)?;
-        tracing::info!(%at, "operators' address");
+        tracing::info!(%at, "operators call here");
         Ok(Ops { listener, listener_key, callers: BTreeMap::new(), full: false })
     }
 
--- a/front/tests/common/mod.rs
+++ b/front/tests/common/mod.rs
@@ -34,7 +34,7 @@
     TcpListener::bind("127.0.0.1:0").unwrap()
 }
 
-fn member(id: u32, at: &TcpListener, zone: &str, kind: &str) -> Value {
+pub fn member(id: u32, at: &TcpListener, zone: &str, kind: &str) -> Value {
     json!({"instanceId": format!("s-{id:08x}"), "hostPort": at.local_addr().unwrap().to_string(), "zone": zone,
            "machineType": kind, "cell": 0, "lifecycle": "in_service", "weight": 8, "startedAtMs": 0})
 }
@@ -104,10 +104,23 @@
 }
 
 fn start_with(config: &Value, settings: Option<&std::path::Path>) -> (Child, tempfile::TempPath) {
+    start_in(config, settings, &[])
+}
+
+/// The same, with variables.
+pub fn start_in(
+    config: &Value,
+    settings: Option<&std::path::Path>,
+    variables: &[(&str, &str)],
+) -> (Child, tempfile::TempPath) {
     let mut file = tempfile::NamedTempFile::new().unwrap();
     file.write_all(config.to_string().as_bytes()).unwrap();
     let mut command = Command::new(env!("CARGO_BIN_EXE_cranesill"));
-    command.arg("serve").env("RELAY_CONFIG", file.path()).stderr(Stdio::piped());
+    command
+        .arg("serve")
+        .env("RELAY_CONFIG", file.path())
+        .envs(variables.iter().copied())
+        .stderr(Stdio::piped());
     if let Some(file) = settings {
         command.arg("--settings").arg(file);
     }
@@ -115,7 +128,7 @@
 }
 
 /// Lines of the log as they come.
-fn follow(front: &mut Child, file: tempfile::TempPath) -> Receiver<String> {
+pub fn follow(front: &mut Child, file: tempfile::TempPath) -> Receiver<String> {
     let (lines, log) = channel();
     let errors = BufReader::new(front.stderr.take().unwrap());
     std::thread::spawn(move || {
