--- a/tests/by_hand.rs
+++ b/tests/by_hand.rs
@@ -71,9 +71,9 @@
 fn with_all_of_a_kind_out_requests_go_on_by_what_is_left_or_are_answered_at_once() {
     let direct = Settings { direct: true, ..settings() };
     let mut stand = Stand::new(direct, usual());
-    [20, 21].map(|id| stand.tell(Event::ByHand(MemberId(id), true)));
+    [20, 21].into_iter().for_each(|id| drop(stand.tell(Event::ByHand(MemberId(id), true))));
     assert!(named(&mut stand, 1).contains(&30), "without parents the origin fills");
-    [10, 11, 12].map(|id| stand.tell(Event::ByHand(MemberId(id), true)));
+    [10, 11, 12].into_iter().for_each(|id| drop(stand.tell(Event::ByHand(MemberId(id), true))));
     assert_eq!(named(&mut stand, 1_001), [30].into(), "without caches requests go straight to the origin");
     stand.tell(Event::ByHand(MemberId(30), true));
     assert!(named(&mut stand, 2_001).is_empty());
@@ -82,7 +82,7 @@
     let mut stand = Stand::new(settings(), usual());
     let waiting: Vec<u64> = (1..=400).collect();
     waiting.iter().for_each(|id| drop(stand.ask(ask(*id, 5))));
-    [10, 11, 12, 20, 21, 30].map(|id| stand.tell(Event::ByHand(MemberId(id), true)));
+    [10, 11, 12, 20, 21, 30].into_iter().for_each(|id| drop(stand.tell(Event::ByHand(MemberId(id), true))));
     let sent: std::collections::BTreeSet<_> = stand.sent.iter().map(|s| s.request.0).collect();
     let left = waiting.iter().filter(|id| !sent.contains(id));
     assert!(left.clone().count() > 0, "some wait");
