--- a/front/src/program/config.rs
+++ b/front/src/program/config.rs
@@ -114,12 +114,12 @@
             .map_or(0, |p| 6 + p.serve.as_ref().map_or(0, |_| super::replicas::FOLLOWERS_MOST))
             + boxes.map_or(0, |b| b.connections_most);
         let ops = self.ops.map_or(0, |_| super::ops::CALLERS_MOST + 1);
-        self.reserved = tls + control + certs + purges + ops;
+        let own = tls + control + certs + purges;
+        self.reserved = own + ops;
         let most = self.sockets / 4;
-        if self.reserved > most {
-            let all = self.reserved;
+        if own > most {
             return Err(format!(
-                "$.tls.handshakes_most: ops, control, tls, certs and purges would take {all} descriptors, and {most} of {} are \
+                "$.tls.handshakes_most: control, tls, certs and purges would take {own} descriptors, and {most} of {} are \
                  for them",
                 self.sockets
             ));
--- a/front/src/program/serve.rs
+++ b/front/src/program/serve.rs
@@ -335,6 +335,9 @@
             _ => Ok(json!({
                 "name": self.config.name, "version": env!("CARGO_PKG_VERSION"),
                 "up_s": (now - self.began) / 1_000_000, "leaving": self.leaving.is_some(),
+                "quiesced": self.quiesced.is_some(), "accepts_clients": !self.elsewhere(),
+                "limits_shared": self.config.halved,
+                "out_by_hand": self.out.iter().map(|id| name_of(*id)).collect::<Vec<_>>(),
                 "open_requests": self.front.open(), "clients": self.clients.len(),
                 "clients_most": self.config.clients_most(), "held_bytes": self.clients.held() + self.members.held(),
                 "held_bytes_most": self.config.held_most(), "settings": self.daemon_file,
