Check the books of figures over a story with faults, and what an emptied front closes

Need: every request taken is in exactly one count or in progress, and clients are told what is counted: 4,000 events with refusals, breaks, aborts and clients that leave, from a seed. Drains on a virtual clock: what is free is closed, what is open is answered first, one that goes on asking goes in the end, who comes after a resume stays.

--- a/front/src/program/clients.rs
+++ b/front/src/program/clients.rs
@@ -408,6 +408,36 @@
         assert!(!stage.2.has(2));
     }
 
+    #[test]
+    fn an_emptied_front_closes_what_is_free_and_answers_what_is_open_first() {
+        let mut stage = Stage::new();
+        let (idle, busy, chatty) = (stage.client(0, 1), stage.client(0, 2), stage.client(0, 3));
+        stage.tell(1, &idle, 1, &READY);
+        stage.tell(1, &chatty, 3, &READY);
+        // A request that can't be used is one all the same: it is owed an answer.
+        let request = [0, 0, 0, 6, 10, 0, 0, 0, 1, 0];
+        let heard = stage.tell(1, &busy, 2, &request);
+        let [Heard::Bad(from, _)] = heard[..] else { panic!("{heard:?}") };
+        stage.2.leave(2, true);
+        let sweep = |stage: &mut Stage, now| drop(stage.2.sweep(now, usize::MAX, usize::MAX));
+        sweep(&mut stage, QUIET);
+        assert!([1, 2, 3].iter().all(|key| !stage.2.all[key].closing), "what was on its way comes first");
+        stage.tell(QUIET, &chatty, 3, &READY);
+        sweep(&mut stage, QUIET + 10);
+        assert!(stage.2.all[&1].closing && !stage.2.all[&2].closing && !stage.2.all[&3].closing);
+        // It takes clients again: who was told to go goes, and who comes now stays.
+        stage.2.resume();
+        let _new = stage.client(QUIET + 20, 4);
+        stage.tell(QUIET + 20, &_new, 4, &READY);
+        stage.2.answer(QUIET + 30, from, Answer::Failed);
+        stage.tell(TOLD_MOST, &chatty, 3, &READY);
+        sweep(&mut stage, TOLD_MOST + 10);
+        assert!(stage.2.all[&2].closing, "answered, it is free");
+        assert!(stage.2.all[&3].closing, "one that goes on asking is closed in the end");
+        sweep(&mut stage, TOLD_MOST + 2 * FAREWELL);
+        assert!(![1, 2, 3].iter().any(|key| stage.2.has(*key)) && stage.2.has(4));
+    }
+
     #[test]
     fn a_client_that_takes_nothing_is_not_read_from_without_end() {
         let mut stage = Stage::new();
--- a/front/src/routing/tests.rs
+++ b/front/src/routing/tests.rs
@@ -152,3 +152,62 @@
     // all the others would wait for room else.
     assert!(refused >= 100 && (1..=40).contains(&sent), "{sent} sent, {refused} refused");
 }
+
+#[test]
+fn every_request_is_in_one_count_or_in_progress_whatever_becomes_of_it() {
+    let mut front = with_origin(Room { open: 40, bytes: 96 << 20 });
+    let (mut taken, mut now, mut dice) = (0u64, S, 7u64);
+    let mut roll = |n: u64| {
+        dice = dice.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+        (dice >> 33) % n
+    };
+    let (mut out, mut open, mut told) = (Vec::new(), Vec::new(), [0u64; 3]);
+    for n in 1..=4_000u64 {
+        now += roll(20_000);
+        match roll(8) {
+            0..=2 => {
+                let (from, mut ask) = ask(n);
+                ask.class = ["book-car", "page-bits", "no-such"][roll(3) as usize].into();
+                // One that there is not is in no count, and a page without an object is none either.
+                taken += u64::from(ask.class == "book-car");
+                open.push(from);
+                front.take_in(now, from, ask);
+            }
+            3..=5 if !out.is_empty() => {
+                let attempt = out.swap_remove(roll(out.len() as u64) as usize);
+                let reply = |word| End::Reply(MemberReply { word, ..MemberReply::default() });
+                let end = match roll(6) {
+                    0 => reply(Word::Fault),
+                    1 => End::Unsent { along: false },
+                    2 => End::Broken { along: roll(2) == 0 },
+                    3 => reply(Word::Shed),
+                    _ => reply(Word::Hit),
+                };
+                front.ended(now, attempt, end);
+            }
+            6 if !open.is_empty() => {
+                let from = open.swap_remove(roll(open.len() as u64) as usize);
+                front.gone(now, from);
+            }
+            _ => front.close(roll(9) == 0),
+        }
+        while let Some(command) = front.command() {
+            match command {
+                Command::Send(attempt, ..) => out.push(attempt),
+                Command::Abort(attempt) => front.ended(now, attempt, End::CalledOff),
+                Command::Answer(_, Answer::Served(_) | Answer::Same) => told[0] += 1,
+                Command::Answer(_, Answer::Refused(_)) => told[1] += 1,
+                Command::Answer(_, Answer::Failed) => told[2] += 1,
+                _ => {}
+            }
+        }
+        let counts: Vec<Counts> = front.counts().map(|(_, counts)| *counts).collect();
+        let sum = |of: fn(&Counts) -> u64| counts.iter().map(of).sum::<u64>();
+        let all = sum(|c| c.passed) + sum(|c| c.dropped) + sum(|c| c.bad_gateway) + sum(|c| c.left);
+        assert_eq!(all + front.open() as u64, taken, "after {n}");
+        // What clients were told is what is counted, but for requests of no class.
+        assert_eq!((sum(|c| c.passed), sum(|c| c.dropped)), (told[0], told[1]));
+        assert!(sum(|c| c.bad_gateway) <= told[2]);
+    }
+    assert!(told.iter().all(|n| *n > 50), "all of it must come about: {told:?}");
+}
