--- a/Makefile
+++ b/Makefile
@@ -40,3 +40,7 @@
 .PHONY: measure-boxes
 measure-boxes: build
 	cargo run --release --locked -p cranesill-front --example measure-boxes
+
+.PHONY: measure-daily
+measure-daily: build
+	cargo run --release --locked -p cranesill-front --example measure-daily
--- a/front/tests/common/mod.rs
+++ b/front/tests/common/mod.rs
@@ -1,5 +1,6 @@
 //! A front as a process of its own, and the peers that a story scripts: blocking sockets on loopback.
 #![allow(dead_code)]
+pub mod desk;
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -115,7 +116,7 @@
 ) -> (Child, tempfile::TempPath) {
     let mut file = tempfile::NamedTempFile::new().unwrap();
     file.write_all(config.to_string().as_bytes()).unwrap();
-    let mut command = Command::new(env!("CARGO_BIN_EXE_cranesill"));
+    let mut command = Command::new(binary());
     command
         .arg("serve")
         .env("RELAY_CONFIG", file.path())
@@ -127,6 +128,12 @@
     (command.spawn().unwrap(), file.into_temp_path())
 }
 
+/// The program: as cargo names it to tests, or beside the example that asks.
+fn binary() -> PathBuf {
+    let beside = || std::env::current_exe().unwrap().parent().unwrap().parent().unwrap().join("cranesill");
+    option_env!("CARGO_BIN_EXE_cranesill").map_or_else(beside, PathBuf::from)
+}
+
 /// Lines of the log as they come.
 pub fn follow(front: &mut Child, file: tempfile::TempPath) -> Receiver<String> {
     let (lines, log) = channel();
--- a/front/tests/daily.rs
+++ b/front/tests/daily.rs
@@ -1,79 +1,14 @@
 //! Stories of daily use: operators' calls on the second address, members out by hand, drains, and a process that is
 //! replaced under load.
 mod common;
+use common::desk::*;
 use common::*;
-use serde_json::Value;
 use std::collections::BTreeMap;
-use std::io::{BufReader, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::process::Child;
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
-use std::sync::mpsc::Receiver;
-use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
-
-/// Operators are answered within this, whatever the load.
-const DUE: Duration = Duration::from_secs(1);
-
-fn with_ops(config: &mut Value) {
-    config["ops"] = "127.0.0.1:0".into();
-}
-
-fn ops_of(log: &Receiver<String>) -> SocketAddr {
-    field(&until(log, "operators call here"), "at").parse().unwrap()
-}
-
-/// Says something on the second address, ends or not, and hears the whole answer.
-fn say(at: SocketAddr, bytes: &[u8], ends: bool) -> String {
-    let mut socket = TcpStream::connect(at).unwrap();
-    socket.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
-    socket.write_all(bytes).unwrap();
-    if ends {
-        socket.shutdown(Shutdown::Write).unwrap();
-    }
-    let mut answer = String::new();
-    socket.read_to_string(&mut answer).unwrap();
-    answer
-}
-
-fn call(at: SocketAddr, line: &str) -> String {
-    let began = Instant::now();
-    let answer = say(at, format!("{line}\n").as_bytes(), false);
-    assert!(began.elapsed() < DUE, "{line} took {:?}", began.elapsed());
-    answer
-}
-
-fn figures(at: SocketAddr) -> BTreeMap<String, u64> {
-    let answer = call(at, "counters");
-    let lines: Vec<_> = answer.lines().collect();
-    assert_eq!((lines.first(), lines.last()), (Some(&"+OK"), Some(&".")));
-    let figure = |line: &&str| {
-        let (name, value) = line.split_once('=').unwrap();
-        (name.strip_prefix("edge_relay.").unwrap().to_string(), value.parse().unwrap())
-    };
-    lines[1..lines.len() - 1].iter().map(figure).collect()
-}
-
-/// A member that answers all that it is asked, and counts it.
-fn answering(listener: &TcpListener) -> Arc<AtomicU32> {
-    let (listener, asked) = (listener.try_clone().unwrap(), Arc::new(AtomicU32::new(0)));
-    let count = Arc::clone(&asked);
-    std::thread::spawn(move || {
-        for socket in listener.incoming().map_while(Result::ok) {
-            let count = Arc::clone(&count);
-            std::thread::spawn(move || {
-                let mut link = Link(BufReader::new(socket));
-                while let Some(words) = link.hear_raw() {
-                    if words[0] == b"fetch" {
-                        count.fetch_add(1, Ordering::SeqCst);
-                        link.say(std::str::from_utf8(&words[1]).unwrap(), "HIT", "tell=local", "bytes");
-                    }
-                }
-            });
-        }
-    });
-    asked
-}
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
 
 #[test]
 fn each_call_has_its_answer_and_what_is_no_call_harms_nobody() {
@@ -191,96 +126,6 @@
     insta::assert_debug_snapshot!(told);
 }
 
-/// A front whose clients' socket the platform holds.
-struct Held {
-    listener: TcpListener,
-    folder: tempfile::TempDir,
-    config: Value,
-}
-
-impl Held {
-    fn new(config: &Value) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        socket2::SockRef::from(&listener).set_cloexec(false).unwrap();
-        let mut config = config.clone();
-        with_ops(&mut config);
-        Held { listener, folder: tempfile::tempdir().unwrap(), config }
-    }
-
-    fn start(&self) -> (Process, SocketAddr) {
-        let fd = std::os::fd::AsRawFd::as_raw_fd(&self.listener).to_string();
-        let folder = self.folder.path().display().to_string();
-        let variables = [("RELAY_ACCEPT_FD", fd.as_str()), ("TMPDIR", folder.as_str())];
-        let (mut front, file) = start_in(&self.config, None, &variables);
-        let log = follow(&mut front, file);
-        // From here on it is ended whatever happens.
-        let process = Process { front, log };
-        let at = ops_of(&process.log);
-        (process, at)
-    }
-}
-
-struct Process {
-    front: Child,
-    log: Receiver<String>,
-}
-
-impl Process {
-    fn signal(&self, name: &str) {
-        let pid = self.front.id().to_string();
-        assert!(std::process::Command::new("kill").args([name, &pid]).status().unwrap().success());
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.front.kill();
-        let _ = self.front.wait();
-    }
-}
-
-/// Clients that ask one thing after another until they are told to stop; how many were answered. Each that meets a closed
-/// door is a failure, unless its front had told it to go elsewhere.
-fn load(
-    at: SocketAddr,
-    over: &Arc<AtomicBool>,
-    failures: &Arc<Mutex<Vec<String>>>,
-) -> Vec<std::thread::JoinHandle<u32>> {
-    let client = |number: u32| {
-        let (over, failures) = (Arc::clone(over), Arc::clone(failures));
-        std::thread::spawn(move || {
-            let (mut answered, mut client, mut stream) = (0, None::<Client>, number << 20);
-            while !over.load(Ordering::SeqCst) {
-                stream += 1;
-                let mut connected = client.take().unwrap_or_else(|| {
-                    let socket = TcpStream::connect(at).unwrap();
-                    socket.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
-                    Client(socket)
-                });
-                connected.ask(stream, "page-bits", "20000", &[], b"");
-                let mut told_off = false;
-                let answer = loop {
-                    match connected.hear() {
-                        Some(told) if told.starts_with("type 30") => told_off = true,
-                        other => break other,
-                    }
-                };
-                match answer {
-                    Some(told) if told.contains("\\x01") => answered += 1,
-                    other => {
-                        failures.lock().unwrap().push(format!("{stream}: {other:?}, told off: {told_off}"))
-                    }
-                }
-                client = Some(connected).filter(|_| !told_off);
-                // As a client that has something else to do between two requests.
-                std::thread::sleep(Duration::from_millis(2));
-            }
-            answered
-        })
-    };
-    (1..=4).map(client).collect()
-}
-
 #[test]
 fn processes_are_replaced_under_load_and_no_request_meets_a_closed_door() {
     let stage = Stage::new(|_| {});
@@ -290,7 +135,7 @@
     let (mut old, mut ops) = held.start();
     until(&old.log, "accepts clients");
     let (over, failures) = (Arc::new(AtomicBool::new(false)), Arc::default());
-    let clients = load(held.listener.local_addr().unwrap(), &over, &failures);
+    let clients = load(held.listener.local_addr().unwrap(), &over, &failures, 4, Duration::from_millis(2));
     // A member that is out by hand stays out, by whichever process, and so does one taken out in between.
     assert_eq!(call(ops, "cordon s-00000011"), "+OK out\n");
     let out = asked[0].load(Ordering::SeqCst);
