--- a/src/policy.rs
+++ b/src/policy.rs
@@ -288,7 +288,8 @@
         self.release(Spot::Cache);
     }
 
-    /// What is worth handing to the next process: who is DOWN or SUSPECT, and who is cold though not by the list.
+    /// What is worth handing to the next process: who is DOWN or SUSPECT, and who is cold though not by the
+    /// list.
     pub fn learned(&self) -> Vec<Learned> {
         let all = self.members.all().map(|m| Learned {
             member: m.listed.member,
@@ -300,8 +301,8 @@
         all.filter(|one| one.down || one.cold_since != one.started).collect()
     }
 
-    /// Takes over what an earlier process learned of a member that has not started anew since. What was DOWN is
-    /// SUSPECT: it has to prove itself to this one.
+    /// Takes over what an earlier process learned of a member that has not started anew since. What was DOWN
+    /// is SUSPECT: it has to prove itself to this one.
     fn learn(&mut self, one: Learned) {
         let same = |at: &usize| self.members[*at].listed.started == one.started;
         let Some(at) = self.members.find(one.member).filter(same) else { return };
