Tell once that what is shared can't be read, and a drained front's end by a story

Need: a folder that vanishes was told of ten times a second; a drain and SIGTERM together had no story. The folder is made for its owner alone.

--- a/front/src/program/serve.rs
+++ b/front/src/program/serve.rs
@@ -396,12 +396,9 @@
     /// Looks which members are out by hand: another process of this front may have been told.
     fn look(&mut self, now: Time) {
         let Some(shared) = &mut self.shared else { return };
-        match shared.out() {
-            Ok(out) => {
-                let changed: Vec<_> = out.symmetric_difference(&self.out).copied().collect();
-                changed.into_iter().for_each(|id| self.set_by_hand(now, id, out.contains(&id)));
-            }
-            Err(error) => tracing::warn!(kind = "by-hand", %error, "what is shared can't be read"),
+        if let Some(out) = shared.out() {
+            let changed: Vec<_> = out.symmetric_difference(&self.out).copied().collect();
+            changed.into_iter().for_each(|id| self.set_by_hand(now, id, out.contains(&id)));
         }
         self.deadlines.add(now + LOOK, Due::Look);
     }
--- a/front/src/program/shared.rs
+++ b/front/src/program/shared.rs
@@ -11,6 +11,7 @@
 use std::collections::BTreeSet;
 use std::fs::{self, File, TryLockError};
 use std::io::{self, Read};
+use std::os::unix::fs::DirBuilderExt;
 use std::path::{Path, PathBuf};
 
 /// What was learned longer ago than this says nothing of now.
@@ -57,18 +58,20 @@
     accept: Lock,
     alive: Lock,
     foreign: usize,
+    /// It was told that the folder can't be read.
+    unreadable: bool,
 }
 
 impl Shared {
     /// Opens the folder, which is made if need be, in `parent`.
     pub fn new(parent: &Path) -> io::Result<Self> {
         let folder = parent.join("cranesill");
-        match fs::create_dir(&folder) {
+        match fs::DirBuilder::new().mode(0o700).create(&folder) {
             Err(e) if e.kind() != io::ErrorKind::AlreadyExists => return Err(e),
             _ => {}
         }
         let (accept, alive) = (Lock::new(&folder.join("accept"))?, Lock::new(&folder.join("alive"))?);
-        Ok(Shared { folder, accept, alive, foreign: 0 })
+        Ok(Shared { folder, accept, alive, foreign: 0, unreadable: false })
     }
 
     /// Whether this process accepts clients, from now on if not before.
@@ -136,8 +139,18 @@
         }
     }
 
-    /// The members that are out by hand. An error: it can't be told.
-    pub fn out(&mut self) -> io::Result<BTreeSet<MemberId>> {
+    /// The members that are out by hand; `None`: that can't be told, and all stay as they are.
+    pub fn out(&mut self) -> Option<BTreeSet<MemberId>> {
+        let found = self.read_out();
+        // It is asked ten times a second: one line tells it.
+        if let Some(error) = found.as_ref().err().filter(|_| !self.unreadable) {
+            tracing::warn!(kind = "by-hand", %error, "what is shared can't be read: calls to another process are missed");
+        }
+        self.unreadable = found.is_err();
+        found.ok()
+    }
+
+    fn read_out(&mut self) -> io::Result<BTreeSet<MemberId>> {
         let mut out = BTreeSet::new();
         let mut foreign = 0;
         for entry in fs::read_dir(&self.folder)?.take(OUT_MOST) {
@@ -211,9 +224,12 @@
         old.set_out(NODE, true).unwrap();
         old.set_out(NODE, true).unwrap();
         fs::write(folder.path().join("cranesill/v2.out.s-00000001"), "").unwrap();
-        assert_eq!(new.out().unwrap(), [NODE].into());
+        assert_eq!(new.out(), Some([NODE].into()));
         new.set_out(NODE, false).unwrap();
         new.set_out(NODE, false).unwrap();
-        assert!(new.out().unwrap().is_empty());
+        assert_eq!(new.out(), Some(BTreeSet::new()));
+        // What can't be read says nothing: nobody comes back by it.
+        fs::rename(folder.path().join("cranesill"), folder.path().join("aside")).unwrap();
+        assert_eq!(new.out(), None);
     }
 }
--- a/front/tests/daily.rs
+++ b/front/tests/daily.rs
@@ -126,6 +126,25 @@
     insta::assert_debug_snapshot!(told);
 }
 
+#[test]
+fn a_drained_front_that_is_told_to_end_answers_what_is_open_and_takes_nobody_back() {
+    let mut stage = Stage::new(with_ops);
+    let at = ops_of(&stage.log);
+    let mut client = stage.client();
+    client.ask(1, "book-car", "20000", &[], b"keys");
+    let mut origin = link(&stage.origin);
+    let fetch = origin.hear().unwrap();
+    call(at, "quiesce");
+    stage.signal("-TERM");
+    until(&stage.log, "leaving");
+    let told = ["resume", "quiesce", "health"].map(|word| call(at, word));
+    assert_eq!(told, ["-ERR leaving: another process takes over\n", "+OK quiesced\n", "-ERR leaving\n"]);
+    origin.say(&fetch[1], "HIT", "-", "booked");
+    let answers: Vec<_> = std::iter::from_fn(|| client.hear()).collect();
+    assert_eq!(answers, ["type 30 stream 0: ", "type 11 stream 1: \\x01\\x00booked"]);
+    assert!(stage.front.wait().unwrap().success());
+}
+
 #[test]
 fn processes_are_replaced_under_load_and_no_request_meets_a_closed_door() {
     let stage = Stage::new(|_| {});
