Stand a socket nobody handed over, no descriptors, and a folder full of files

Found by reading the change once more as whoever runs it at night: RELAY_ACCEPT_FD naming what was not handed over took the program's own poller for it and closed it twice (Server::new opened that first); an operators' listener without descriptors was told of at once and without end (Ops::accept); past 4,096 files in the shared folder nodes out by hand came back into use (Shared::out); a pipe in the place of a lock held the start up; nodes out by hand had no bound. Each has its test but the pipe. Sleeps are out of the load; the readiness question is in one place.

--- a/front/examples/measure-daily.rs
+++ b/front/examples/measure-daily.rs
@@ -7,7 +7,7 @@
 use common::*;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 const CALLS: usize = 400;
 const REPLACEMENTS: usize = 100;
@@ -27,8 +27,9 @@
     let platform = Held::new(&stage.config);
     let (mut old, mut ops) = platform.start();
     let (over, failures) = (Arc::new(AtomicBool::new(false)), Arc::default());
-    let clients = load(platform.listener.local_addr().unwrap(), &over, &failures, 32, Duration::ZERO);
-    std::thread::sleep(Duration::from_secs(1));
+    let clients = load(platform.listener.local_addr().unwrap(), &over, &failures, 32);
+    // Warm: connections are made and the members known.
+    while figures(ops)["handled.page-bits.passed"] < 10_000 {}
     let before = figures(ops)["handled.page-bits.passed"];
     let began = Instant::now();
     for word in ["health", "counters"] {
--- a/front/src/program/ops.rs
+++ b/front/src/program/ops.rs
@@ -15,6 +15,8 @@
 /// While all places are taken, a caller that has been there for this long without a call makes room: a call comes with
 /// its connection, give or take a round trip.
 const PATIENCE: Span = 20_000;
+/// Pause before the listener is tried again that found no descriptor.
+const AGAIN: Span = 100_000;
 /// A caller is closed after this long, whatever it has said.
 const STAY_MOST: Span = 5_000_000;
 /// One that has its answer is closed after this long if it does not close by itself.
@@ -38,6 +40,8 @@
     callers: BTreeMap<usize, Caller>,
     /// No place was to be had: the listener rests until there is one.
     full: bool,
+    /// It is tried again then, whoever is there.
+    again: Option<Time>,
 }
 
 impl Ops {
@@ -49,7 +53,7 @@
             turn.reactor.watch(listen(at).map_err(failed)?, listener_key, false).map_err(failed)?;
         let at = listener.local_addr().map_err(failed)?;
         tracing::info!(%at, "operators call here");
-        Ok(Ops { listener, listener_key, callers: BTreeMap::new(), full: false })
+        Ok(Ops { listener, listener_key, callers: BTreeMap::new(), full: false, again: None })
     }
 
     fn accept(&mut self, turn: &mut Turn<'_>) {
@@ -57,7 +61,19 @@
             if self.callers.len() >= CALLERS_MOST && !self.make_room(turn) {
                 return self.rest(true);
             }
-            let Ok((socket, _)) = self.listener.accept() else { return self.rest(false) };
+            let socket = match self.listener.accept() {
+                Ok((socket, _)) => socket,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return self.rest(false),
+                Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => continue,
+                // Out of descriptors: a caller that says nothing gives its own up. Without one the listener rests, or it
+                // would be told of again at once and without end.
+                Err(_) if self.make_room(turn) => continue,
+                Err(error) => {
+                    tracing::warn!(kind = "ops", %error, "no operator can be heard for now");
+                    self.again = Some(turn.now + AGAIN);
+                    return self.rest(true);
+                }
+            };
             let key = turn.key();
             if socket.set_nonblocking(true).is_err() {
                 continue;
@@ -212,13 +228,14 @@
         let over: Vec<_> = self.callers.iter().filter(|(_, c)| over(c)).map(|(key, _)| *key).collect();
         over.into_iter().for_each(|key| drop(self.callers.remove(&key)));
         if self.full {
+            self.again = None;
             self.accept(turn);
         }
     }
 
     fn next(&self) -> Option<Time> {
         let waits = |c: &Caller| if self.full && !c.called { PATIENCE } else { STAY_MOST };
-        self.callers.values().map(|c| c.ends.unwrap_or(c.since + waits(c))).min()
+        self.callers.values().map(|c| c.ends.unwrap_or(c.since + waits(c))).chain(self.again).min()
     }
 
     fn told(&mut self, turn: &mut Turn<'_>, effect: &Effect) {
--- a/front/src/program/serve.rs
+++ b/front/src/program/serve.rs
@@ -9,7 +9,7 @@
 use super::members::{Ends, Members};
 use super::ops::Ops;
 use super::purges::Purges;
-use super::shared::Shared;
+use super::shared::{Shared, OUT_MOST};
 use super::tls::Tls;
 use crate::protocol::feed::{Listing, News};
 use crate::protocol::member::name_of;
@@ -123,12 +123,16 @@
     /// Listens, and takes over what the configuration says of the members.
     /// Subsystems are those of `daemon`, which came from `daemon_file`.
     pub fn new(mut config: Config, daemon: Daemon, daemon_file: Option<PathBuf>) -> Result<Self, String> {
+        // First of all: what is opened before could get the number of a socket that nobody handed over.
+        let held =
+            config.accept_fd.map(|fd| inherited(fd).map_err(|e| format!("RELAY_ACCEPT_FD: {fd}: {e}")));
+        let held = held.transpose()?;
         let log = Log::install(&daemon.log);
         let failed = |what: &'static str| move |e: io::Error| format!("{what}: {e}");
         let clock = Clock::new();
         let reactor = Reactor::new().map_err(failed("poller"))?;
-        let listener = match config.accept_fd {
-            Some(fd) => inherited(fd).map_err(|e| format!("RELAY_ACCEPT_FD: {fd}: {e}"))?,
+        let listener = match held {
+            Some(listener) => listener,
             None => listen(config.listen).map_err(|e| format!("{}: {e}", config.listen))?,
         };
         let listener = reactor.watch(listener, LISTENER, false).map_err(failed("poller"))?;
@@ -377,6 +381,9 @@
         if !known {
             return Err(format!("{text}: unknown"));
         }
+        if out && self.out.len() >= OUT_MOST && !self.out.contains(&id) {
+            return Err(format!("{text}: {OUT_MOST} are out by hand already"));
+        }
         if let Some(shared) = &self.shared {
             shared.set_out(id, out).map_err(|e| format!("{text}: it can't be kept: {e}"))?;
         }
--- a/front/src/program/shared.rs
+++ b/front/src/program/shared.rs
@@ -11,13 +11,16 @@
 use std::collections::BTreeSet;
 use std::fs::{self, File, TryLockError};
 use std::io::{self, Read};
-use std::os::unix::fs::DirBuilderExt;
+use std::os::unix::fs::{DirBuilderExt, OpenOptionsExt};
 use std::path::{Path, PathBuf};
 
 /// What was learned longer ago than this says nothing of now.
 const LEARNED_FRESH: Span = 10_000_000;
-/// Members out by hand that are read at most.
-const OUT_MOST: usize = 4_096;
+/// Members out by hand at once.
+pub const OUT_MOST: usize = 1_024;
+/// Files in the folder that are looked at. With more it can't be told who is out, and all stay as they are: what is passed
+/// over would come back into use by it.
+const FILES_MOST: usize = 4 * OUT_MOST;
 /// Files with names of no meaning here that are told of in the log.
 const FOREIGN_TOLD: usize = 4;
 
@@ -30,7 +33,10 @@
 
 impl Lock {
     fn new(path: &Path) -> io::Result<Self> {
-        let file = File::options().create(true).truncate(false).write(true).open(path)?;
+        // Not blocking: what somebody else put there may be a pipe that nobody reads.
+        let mut options = File::options();
+        options.create(true).truncate(false).write(true).custom_flags(libc::O_NONBLOCK);
+        let file = options.open(path)?;
         Ok(Lock { file, held: false })
     }
 
@@ -106,7 +112,8 @@
     pub fn learned(&self, now: Time) -> Vec<Learned> {
         let path = self.folder.join("learned");
         let mut text = Vec::new();
-        let found = File::open(&path).and_then(|f| f.take(LEARNED_MOST as u64 + 1).read_to_end(&mut text));
+        let opened = File::options().read(true).custom_flags(libc::O_NONBLOCK).open(&path);
+        let found = opened.and_then(|f| f.take(LEARNED_MOST as u64 + 1).read_to_end(&mut text));
         match found {
             Err(e) if e.kind() == io::ErrorKind::NotFound => return Vec::new(),
             Err(error) => {
@@ -153,7 +160,10 @@
     fn read_out(&mut self) -> io::Result<BTreeSet<MemberId>> {
         let mut out = BTreeSet::new();
         let mut foreign = 0;
-        for entry in fs::read_dir(&self.folder)?.take(OUT_MOST) {
+        for (n, entry) in fs::read_dir(&self.folder)?.enumerate() {
+            if n >= FILES_MOST {
+                return Err(io::Error::other("too many files"));
+            }
             let name = entry?.file_name();
             let name = name.to_string_lossy();
             match out_member(&name) {
@@ -228,6 +238,11 @@
         new.set_out(NODE, false).unwrap();
         new.set_out(NODE, false).unwrap();
         assert_eq!(new.out(), Some(BTreeSet::new()));
+        // Nor do so many that not all are looked at.
+        new.set_out(NODE, true).unwrap();
+        assert_eq!(new.out(), Some([NODE].into()));
+        (0..FILES_MOST).for_each(|n| fs::write(folder.path().join(format!("cranesill/x{n}")), "").unwrap());
+        assert_eq!(new.out(), None);
         // What can't be read says nothing: nobody comes back by it.
         fs::rename(folder.path().join("cranesill"), folder.path().join("aside")).unwrap();
         assert_eq!(new.out(), None);
--- a/front/tests/common/desk.rs
+++ b/front/tests/common/desk.rs
@@ -126,7 +126,6 @@
     over: &Arc<AtomicBool>,
     failures: &Arc<Mutex<Vec<String>>>,
     clients: u32,
-    pause: Duration,
 ) -> Vec<std::thread::JoinHandle<u32>> {
     let client = |number: u32| {
         let (over, failures) = (Arc::clone(over), Arc::clone(failures));
@@ -154,8 +153,6 @@
                     }
                 }
                 client = Some(connected).filter(|_| !told_off);
-                // As a client that has something else to do between two requests.
-                std::thread::sleep(pause);
             }
             answered
         })
--- a/front/tests/common/mod.rs
+++ b/front/tests/common/mod.rs
@@ -71,6 +71,13 @@
         Client(guarded(TcpStream::connect(self.address).unwrap()))
     }
 
+    /// What a client that comes now is told when it asks whether the front is ready.
+    pub fn readiness(&self) -> Option<String> {
+        let mut client = self.client();
+        client.send(20, 1, &[0]);
+        client.hear()
+    }
+
     /// Kills the front outright.
     pub fn kill(&mut self) {
         self.front.kill().unwrap();
@@ -129,7 +136,7 @@
 }
 
 /// The program: as cargo names it to tests, or beside the example that asks.
-fn binary() -> PathBuf {
+pub fn binary() -> PathBuf {
     let beside = || std::env::current_exe().unwrap().parent().unwrap().parent().unwrap().join("cranesill");
     option_env!("CARGO_BIN_EXE_cranesill").map_or_else(beside, PathBuf::from)
 }
--- a/front/tests/daily.rs
+++ b/front/tests/daily.rs
@@ -8,7 +8,6 @@
 use std::net::TcpStream;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
 
 #[test]
 fn each_call_has_its_answer_and_what_is_no_call_harms_nobody() {
@@ -55,6 +54,25 @@
     drop(silent);
 }
 
+#[test]
+fn without_descriptors_a_silent_caller_gives_its_own_up_to_one_that_asks() {
+    let mut file = tempfile::NamedTempFile::new().unwrap();
+    let stage = Stage::new(|_| {});
+    let mut config = stage.config.clone();
+    with_ops(&mut config);
+    config["listen"] = "127.0.0.1:0".into();
+    file.write_all(config.to_string().as_bytes()).unwrap();
+    let mut shell = std::process::Command::new("sh");
+    shell.args(["-c", "ulimit -n 24; exec \"$0\" serve \"$1\""]).arg(binary()).arg(file.path());
+    let mut front = shell.stderr(std::process::Stdio::piped()).spawn().unwrap();
+    let log = follow(&mut front, file.into_temp_path());
+    let process = Process { front, log };
+    let at = ops_of(&process.log);
+    let silent: Vec<_> = (0..60).map(|_| TcpStream::connect(at).unwrap()).collect();
+    assert_eq!(call(at, "health"), "+OK serving\n");
+    drop(silent);
+}
+
 #[test]
 fn the_figures_are_what_clients_and_members_saw() {
     let stage = Stage::new(with_ops);
@@ -120,9 +138,7 @@
     assert_eq!(busy.hear(), None);
     told.push(call(at, "resume"));
     told.push(call(at, "health"));
-    let mut next = stage.client();
-    next.send(20, 1, &[0]);
-    told.extend(next.hear());
+    told.extend(stage.readiness());
     insta::assert_debug_snapshot!(told);
 }
 
@@ -154,7 +170,7 @@
     let (mut old, mut ops) = held.start();
     until(&old.log, "accepts clients");
     let (over, failures) = (Arc::new(AtomicBool::new(false)), Arc::default());
-    let clients = load(held.listener.local_addr().unwrap(), &over, &failures, 4, Duration::from_millis(2));
+    let clients = load(held.listener.local_addr().unwrap(), &over, &failures, 4);
     // A member that is out by hand stays out, by whichever process, and so does one taken out in between.
     assert_eq!(call(ops, "cordon s-00000011"), "+OK out\n");
     let out = asked[0].load(Ordering::SeqCst);
@@ -214,4 +230,15 @@
     {
         refused(&fd);
     }
+    // Named and not handed over: the program's own first descriptor gets that number, and is not to be taken for it.
+    let mut file = tempfile::NamedTempFile::new().unwrap();
+    file.write_all(stage.config.to_string().as_bytes()).unwrap();
+    let script = "exec 3<&- 4<&- 5<&-; exec \"$0\" serve \"$1\"";
+    for fd in ["3", "4", "5"] {
+        let mut shell = std::process::Command::new("sh");
+        shell.args(["-c", script]).arg(binary()).arg(file.path()).env("RELAY_ACCEPT_FD", fd);
+        let done = shell.output().unwrap();
+        let errors = String::from_utf8(done.stderr).unwrap();
+        assert_eq!(errors, format!("cranesill: RELAY_ACCEPT_FD: {fd}: it is not open\n"));
+    }
 }
--- a/front/tests/stories.rs
+++ b/front/tests/stories.rs
@@ -166,9 +166,7 @@
     let mut other = stage.client();
     other.0.write_all(&[0xff; 8]).unwrap();
     told.push(format!("{:?} then {:?}", other.hear(), other.hear()));
-    let mut third = stage.client();
-    third.send(20, 1, &[0]);
-    told.extend(third.hear());
+    told.extend(stage.readiness());
     insta::assert_debug_snapshot!(told);
 }
 
