--- a/front/tests/daily.rs
+++ b/front/tests/daily.rs
@@ -8,6 +8,10 @@
 use std::net::TcpStream;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// By then a drained front holds no idle connection.
+const EMPTY: Duration = Duration::from_secs(4);
 
 #[test]
 fn each_call_has_its_answer_and_what_is_no_call_harms_nobody() {
@@ -124,12 +128,14 @@
     busy.ask(1, "book-car", "20000", &[], b"keys");
     let mut origin = link(&stage.origin);
     let fetch = origin.hear().unwrap();
+    let began = Instant::now();
     told.push(call(at, "quiesce"));
     told.push(call(at, "quiesce"));
     told.push(call(at, "health"));
     // Both are told to open nothing new; the idle one is closed, the other has its answer first.
     told.extend(idle.hear());
     assert_eq!(idle.hear(), None);
+    assert!(began.elapsed() < EMPTY, "an idle connection is let go in time");
     told.extend(busy.hear());
     busy.send(20, 2, &[0]);
     told.extend(busy.hear());
@@ -179,6 +185,13 @@
         until(&new.log, "waits for another process");
         assert_eq!(call(new_ops, "health"), "+OK serving\n", "it says yes beside the old one");
         assert_eq!(figures(new_ops)["skipped_cache_nodes"], 1);
+        // It takes no clients while the old one does, however many come.
+        for n in 0..60 {
+            let mut client = Client(TcpStream::connect(held.listener.local_addr().unwrap()).unwrap());
+            client.ask(0x7000_0000 + 100 * round + n, "page-bits", "20000", &[], b"");
+            assert!(client.hear().unwrap().contains("bytes"));
+        }
+        assert_eq!(figures(new_ops)["handled.page-bits.passed"], 0);
         if round == 2 {
             assert_eq!(asked[0].load(Ordering::SeqCst), out, "nothing went to the member that was out");
             // Said to the old process, and to none other.
--- a/tests/by_hand.rs
+++ b/tests/by_hand.rs
@@ -120,3 +120,19 @@
     new.tell(Event::Learned(learned));
     assert_eq!(new.router.learned().iter().filter(|one| one.member.0 == 10).count(), 0);
 }
+
+#[test]
+fn a_burst_just_after_it_is_back_goes_past_a_member_that_is_cold() {
+    let mut stand = Stand::new(settings(), usual());
+    stand.tell(Event::ByHand(MemberId(10), true));
+    stand.tell(Event::ByHand(MemberId(10), false));
+    // Answered at once, so that nothing but its coldness holds them back.
+    for id in 1..=400 {
+        for sent in stand.ask(ask(id, id)) {
+            stand.served(&sent);
+        }
+        stand.advance(MS);
+    }
+    assert!(stand.sent.iter().any(|sent| sent.target == 10), "it gets its share of what it can do");
+    assert_eq!(stand.checker.broken, Vec::<String>::new());
+}
