Give the front's drivers a folder of their own and group their effects by subsystem

Need: a further subsystem (cold start, duties) had to touch one list of eighteen effects and every match over it, and driver.rs and tls.rs named each other.

Change, without any of behaviour: program/drivers/ holds the drivers, what they bring about for others stands in effect.rs by subsystem, what is served for which name in served.rs (used by the listener and by certificates, using neither), and what the ledger brings about for the front in program/floors.rs. serve.rs waits, sorts and hands on.

--- a/front/src/program/config.rs
+++ b/front/src/program/config.rs
@@ -105,15 +105,14 @@
     /// Takes descriptors for what the daemon's own settings switch on from those of clients.
     pub fn reserve(&mut self, daemon: &Daemon) -> Result<(), String> {
         let tls = daemon.tls.as_ref().map_or(0, |tls| tls.handshakes_most + 1);
-        let control = daemon.control.as_ref().map_or(0, |_| super::control::OPERATORS_MOST + 1);
-        let certs = daemon.certs.as_ref().map_or(0, |c| c.orders_at_once + super::certs::DESCRIPTORS);
+        let control = daemon.control.as_ref().map_or(0, |_| super::drivers::control::OPERATORS_MOST + 1);
+        let certs =
+            daemon.certs.as_ref().map_or(0, |c| c.orders_at_once + super::drivers::certs::DESCRIPTORS);
         let boxes = daemon.purges.as_ref().and_then(|p| p.boxes.as_ref());
-        let purges = daemon
-            .purges
-            .as_ref()
-            .map_or(0, |p| 6 + p.serve.as_ref().map_or(0, |_| super::replicas::FOLLOWERS_MOST))
-            + boxes.map_or(0, |b| b.connections_most);
-        let ops = self.ops.map_or(0, |_| super::ops::CALLERS_MOST + 1);
+        let purges = daemon.purges.as_ref().map_or(0, |p| {
+            6 + p.serve.as_ref().map_or(0, |_| super::drivers::purges::replicas::FOLLOWERS_MOST)
+        }) + boxes.map_or(0, |b| b.connections_most);
+        let ops = self.ops.map_or(0, |_| super::drivers::ops::CALLERS_MOST + 1);
         let own = tls + control + certs + purges;
         self.reserved = own + ops;
         let most = self.sockets / 4;
@@ -168,7 +167,7 @@
     let text = std::fs::read(file).map_err(|e| vec![at(&e)])?;
     let daemon =
         cranesill_daemon::read(&text).map_err(|faults| faults.iter().map(|f| at(f)).collect::<Vec<_>>())?;
-    match daemon.certs.as_ref().map(super::certs::check) {
+    match daemon.certs.as_ref().map(super::drivers::certs::check) {
         Some(Err(why)) => Err(vec![at(&format!("$.{why}"))]),
         _ => Ok(daemon),
     }
--- a/front/src/program/certs.rs
+++ b/front/src/program/drivers/certs.rs
@@ -1,7 +1,7 @@
 //! Drives the ACME client: exchanges, keys and files on worker threads, http-01 challenges on a listener of its own,
 //! certificates to the TLS listener.
-use super::driver::{Driver, Effect, Turn};
-use super::tls::{Proof, Tables};
+use super::served::{Proof, Tables};
+use super::{Driver, Effect, Secured, Turn};
 use crate::transport::{listen, Registered, Workers};
 use cranesill::api::{Span, Time};
 use cranesill_certs::client::Loud;
@@ -207,7 +207,8 @@
             self.carry_out(turn, action);
         }
         if served {
-            turn.effects.push(Effect::Certificates(self.tables.table(self.first.as_deref())));
+            turn.effects
+                .push(Effect::Secured(Secured::Certificates(self.tables.table(self.first.as_deref()))));
         }
         self.next = self.client.next(moment);
     }
@@ -258,7 +259,7 @@
             Action::Withdraw(challenge) => {
                 self.shown.remove(&challenge.token);
                 if challenge.way == Way::TlsAlpn {
-                    turn.effects.push(Effect::Prove(challenge.name, None));
+                    turn.effects.push(Effect::Secured(Secured::Prove(challenge.name, None)));
                 }
                 Ok(())
             }
@@ -445,7 +446,7 @@
                     Done::Proof(task, name, made) => {
                         let proof = made.and_then(|key| Proof::new(&key));
                         let done = proof.map(|proof| {
-                            turn.effects.push(Effect::Prove(name, Some(Arc::new(proof))));
+                            turn.effects.push(Effect::Secured(Secured::Prove(name, Some(Arc::new(proof)))));
                         });
                         self.handle(turn, Event::Done(task, done));
                     }
--- a/front/src/program/control.rs
+++ b/front/src/program/drivers/control.rs
@@ -1,5 +1,5 @@
 //! The control socket: one JSON object a line from operators, one a line back.
-use super::driver::{Driver, Effect, Turn};
+use super::{Driver, Effect, Turn};
 use crate::transport::Registered;
 use cranesill::api::{Span, Time};
 use serde_json::{json, Value};
--- a/front/src/program/ops.rs
+++ b/front/src/program/drivers/ops.rs
@@ -1,6 +1,6 @@
 //! The second address, for operators alone: one line a connection, an answer, and a close. What a call does is a word
 //! of the loop, the same that the control socket takes.
-use super::driver::{Driver, Effect, Turn};
+use super::{Driver, Effect, Turn};
 use crate::protocol::ops::{answer, decode, Call, LINE_MOST};
 use crate::protocol::{member::name_of, Unreadable};
 use crate::transport::{listen, Registered};
--- a/front/src/program/boxes.rs
+++ b/front/src/program/drivers/purges/boxes.rs
@@ -1,6 +1,6 @@
 //! Connections over which boxes are purged: one to each, beside those of requests. What goes out when is chosen in
 //! `cranesill_purges::boxes`.
-use super::driver::Turn;
+use crate::program::drivers::Turn;
 use crate::protocol::{member, purge};
 use crate::transport::{dial, Stream};
 use cranesill::api::{MemberId, Span, Time};
--- a/front/src/program/purges.rs
+++ b/front/src/program/drivers/purges/mod.rs
@@ -1,16 +1,19 @@
 //! Drives the ledger of purges: commands of operators in, a file behind it, purges out to the floors. A purge counts
 //! once it is kept; who asked is told then.
-use super::boxes::BoxLinks;
-use super::driver::{Driver, Effect, Turn};
-use super::replicas::{Followers, Following};
+mod boxes;
+pub mod replicas;
+
+use super::{Driver, Effect, Purging, Turn};
 use crate::protocol::follow::Frame;
 use crate::transport::Workers;
+use boxes::BoxLinks;
 use cranesill::api::{Span, Time};
 use cranesill_daemon::Purges as Settings;
 use cranesill_purges::journal::{self, File, Opened};
 use cranesill_purges::ledger::{Command, Ledger, Refused, Taken};
 use cranesill_purges::matching::{compile, Set};
 use cranesill_purges::{Ms, Purge, What};
+use replicas::{Followers, Following};
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, VecDeque};
 use std::io::{self, Read, Write};
@@ -198,8 +201,8 @@
         let horizon = wall().saturating_sub(settings.horizon_s * 1_000);
         let live: Vec<Purge> = ledger.iter().filter(|p| p.at >= horizon).cloned().collect();
         tracing::info!(last = ledger.last(), live = live.len(), unknown, "purges");
-        turn.effects.push(Effect::Floors(settings.clone(), unknown.then(wall)));
-        turn.effects.push(Effect::Purged(live));
+        turn.effects.push(Effect::Purges(Purging::Floors(settings.clone(), unknown.then(wall))));
+        turn.effects.push(Effect::Purges(Purging::Purged(live)));
         let boxes = boxes
             .zip(settings.boxes.as_ref())
             .map(|(kinds, b)| (BoxLinks::new(turn.now, &ledger, b.per_s.into(), b.connections_most), kinds));
@@ -268,7 +271,7 @@
         tracing::info!(number, what = ?purge.what, who = %purge.who, why = %purge.why, "purge");
         // It was taken in as the next one, and nothing else came between.
         let _ = self.ledger.append(self.ledger.identity, purge.clone());
-        turn.effects.push(Effect::Purged(vec![purge]));
+        turn.effects.push(Effect::Purges(Purging::Purged(vec![purge])));
         self.answer(turn, operator, number, false);
     }
 
@@ -296,7 +299,7 @@
         let Some((boxes, _)) = &mut self.boxes else { return };
         boxes.work(turn, &self.ledger);
         if let Some(number) = boxes.changed() {
-            turn.effects.push(Effect::Confirmed(number));
+            turn.effects.push(Effect::Purges(Purging::Confirmed(number)));
         }
         let now = turn.now;
         self.waits.retain(|(operator, until, number)| {
@@ -322,7 +325,7 @@
                 tracing::warn!(kind = "anew", base = frame.base, lost, "purges: the ledger begins anew");
                 self.ledger = Ledger::after(frame.ledger, frame.base);
                 if lost {
-                    turn.effects.push(Effect::Everything(wall()));
+                    turn.effects.push(Effect::Purges(Purging::Everything(wall())));
                 }
                 self.rewrite(turn);
                 continue;
@@ -348,7 +351,7 @@
             }
             let last = self.ledger.last();
             if let Some(end) = new.last().map(|p| p.number) {
-                turn.effects.push(Effect::Purged(new.clone()));
+                turn.effects.push(Effect::Purges(Purging::Purged(new.clone())));
                 match self.disk.clone() {
                     None => self.following.iter_mut().for_each(|f| f.kept(turn.now, end)),
                     Some(disk) => {
@@ -363,7 +366,7 @@
                 }
             }
             if frame.ledger == self.ledger.identity && frame.head == last {
-                turn.effects.push(Effect::Contact);
+                turn.effects.push(Effect::Purges(Purging::Contact));
             }
         }
     }
@@ -375,7 +378,7 @@
         self.broken = Some(why.into());
         if let Some((operator, purge)) = self.keeping.take() {
             self.waiters.remove(&operator);
-            turn.effects.push(Effect::Purged(vec![Purge { number: 0, ..purge }]));
+            turn.effects.push(Effect::Purges(Purging::Purged(vec![Purge { number: 0, ..purge }])));
             let text = format!(
                 "it counts here until a restart, and could not be kept: {why}; repeat it with the same id"
             );
@@ -474,7 +477,7 @@
                         tracing::error!(kind = "not-kept", error = why, "purges: the ledger can't be kept");
                     }
                 }
-                Done::Compiled(set) => turn.effects.push(Effect::Compiled(Box::new(set))),
+                Done::Compiled(set) => turn.effects.push(Effect::Purges(Purging::Compiled(Box::new(set)))),
             }
         }
     }
@@ -487,7 +490,7 @@
         }
         self.sweep = turn.now + SWEEP;
         let horizon = wall().saturating_sub(self.settings.horizon_s * 1_000);
-        turn.effects.push(Effect::Horizon(horizon));
+        turn.effects.push(Effect::Purges(Purging::Horizon(horizon)));
         // Nothing is being written: what is compacted or cut off can't be what waits.
         if self.keeping.is_none() {
             let confirmed = self.boxes.as_ref().map_or(self.ledger.last(), |(boxes, _)| boxes.confirmed());
@@ -507,10 +510,10 @@
 
     fn told(&mut self, turn: &mut Turn<'_>, effect: &Effect) {
         match effect {
-            Effect::Compile(patterns) => {
+            Effect::Purges(Purging::Compile(patterns)) => {
                 let patterns = patterns.clone();
                 if let Err(e) = self.workers.run(move || Done::Compiled(compile(patterns))) {
-                    turn.effects.push(Effect::Compiled(Box::new(Err(e.to_string()))));
+                    turn.effects.push(Effect::Purges(Purging::Compiled(Box::new(Err(e.to_string())))));
                 }
             }
             Effect::Members(members, whole) => {
--- a/front/src/program/replicas.rs
+++ b/front/src/program/drivers/purges/replicas.rs
@@ -1,5 +1,5 @@
 //! The ledger between fronts: the writer's end, which serves those that follow, and a follower's, which keeps contact.
-use super::driver::Turn;
+use crate::program::drivers::Turn;
 use crate::protocol::follow::{frame, hello, read_frame, read_hello, Frame, Hello, HELLO};
 use crate::transport::{dial, listen, Outgoing, Registered, Stream};
 use cranesill::api::{Span, Time};
--- a/front/src/program/tls.rs
+++ b/front/src/program/drivers/tls.rs
@@ -1,14 +1,12 @@
 //! The TLS listener: handshakes on the loop, bounded in number, in time and in their share of the core, behind
 //! everything that open connections want. A connection whose handshake is complete is a client's like any other.
-use super::driver::{Driver, Effect, Turn};
+use super::served::{Proof, Table, ACME, BINARY};
+use super::{Driver, Effect, Secured, Turn};
 use crate::transport::{listen, Registered};
 use cranesill::api::{Span, Time};
 use cranesill_budget::{CoreTime, Places};
-use cranesill_certs::{Identity, Wall};
 use cranesill_daemon::{Daemon, Expired, Tls as Settings};
-use rustls::crypto::CryptoProvider;
-use rustls::server::{Acceptor, NoServerSessionStorage, ProducesTickets, ResolvesServerCert};
-use rustls::sign::CertifiedKey;
+use rustls::server::Acceptor;
 use rustls::{ServerConfig, ServerConnection};
 use serde_json::json;
 use std::collections::{BTreeMap, HashMap};
@@ -17,10 +15,6 @@
 use std::sync::Arc;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
-/// The binary protocol (our own name).
-pub const BINARY: &[u8] = b"cranesill/1";
-/// RFC 8737, section 6.2.
-const ACME: &[u8] = b"acme-tls/1";
 /// Core time that handshakes get in one turn before open connections are looked at again.
 const SLICE: Span = 2_000;
 /// Connections accepted in one turn.
@@ -38,121 +32,6 @@
 const UNRECOGNIZED_NAME: u8 = 112;
 const NO_APPLICATION_PROTOCOL: u8 = 120;
 
-/// A certificate and what handshakes with it are made by.
-#[derive(Clone)]
-pub struct Served {
-    config: Arc<ServerConfig>,
-    not_after: Wall,
-}
-
-/// Which certificate stands for which name.
-#[derive(Default)]
-pub struct Table {
-    names: HashMap<String, Served>,
-    /// For clients that name none.
-    default: Option<Served>,
-}
-
-/// What shows control of a name (RFC 8737, section 3).
-pub struct Proof(Arc<ServerConfig>);
-
-#[derive(Debug)]
-struct One(Arc<CertifiedKey>);
-
-impl ResolvesServerCert for One {
-    fn resolve(&self, _: rustls::server::ClientHello<'_>) -> Option<Arc<CertifiedKey>> {
-        Some(Arc::clone(&self.0))
-    }
-}
-
-fn config(
-    key: &Arc<CertifiedKey>,
-    protocol: &[u8],
-    tickets: Option<Arc<dyn ProducesTickets>>,
-) -> Result<Arc<ServerConfig>, String> {
-    let provider: Arc<CryptoProvider> = Arc::new(rustls::crypto::ring::default_provider());
-    let mut config = ServerConfig::builder_with_provider(provider)
-        .with_safe_default_protocol_versions()
-        .map_err(|e| e.to_string())?
-        .with_no_client_auth()
-        .with_cert_resolver(Arc::new(One(Arc::clone(key))));
-    config.alpn_protocols = vec![protocol.to_vec()];
-    // Resumption by tickets alone: nothing is kept here for clients that are not connected.
-    config.session_storage = Arc::new(NoServerSessionStorage {});
-    if let Some(tickets) = tickets {
-        config.ticketer = tickets;
-    }
-    config.send_tls13_tickets = 1;
-    Ok(Arc::new(config))
-}
-
-impl Proof {
-    /// From a certificate made for a challenge.
-    pub fn new(key: &Arc<CertifiedKey>) -> Result<Proof, String> {
-        config(key, ACME, None).map(Proof)
-    }
-}
-
-/// A certificate's identities, in order, with the tickets that are good for them.
-struct Group {
-    served: Vec<(Identity, Served)>,
-    tickets: Arc<dyn ProducesTickets>,
-}
-
-/// Makes tables out of what is served for each certificate. Tickets outlive a renewal, since what they vouch for
-/// still holds, and end with a key that must not be trusted any more.
-#[derive(Default)]
-pub struct Tables {
-    groups: BTreeMap<String, Group>,
-}
-
-impl Tables {
-    /// Takes over what is served for a certificate.
-    pub fn set(&mut self, id: &str, all: &[Identity], fresh_tickets: bool) -> Result<(), String> {
-        if all.is_empty() {
-            self.groups.remove(id);
-            return Ok(());
-        }
-        let old = self.groups.get(id).filter(|_| !fresh_tickets).map(|g| Arc::clone(&g.tickets));
-        let tickets = match old {
-            Some(tickets) => tickets,
-            None => rustls::crypto::ring::Ticketer::new().map_err(|e| e.to_string())?,
-        };
-        let served = all.iter().map(|identity| {
-            let config = config(&identity.certified, BINARY, Some(Arc::clone(&tickets)))?;
-            Ok((identity.clone(), Served { config, not_after: identity.not_after }))
-        });
-        let served = served.collect::<Result<_, String>>()?;
-        self.groups.insert(id.into(), Group { served, tickets });
-        Ok(())
-    }
-
-    /// The table as it is now; the first name of the first certificate is the one for clients that name none.
-    pub fn table(&self, first: Option<&str>) -> Arc<Table> {
-        let mut table = Table::default();
-        for group in self.groups.values() {
-            // The first that covers a name stands for it: the later ones go in before it.
-            for (identity, served) in group.served.iter().rev() {
-                for name in &identity.names {
-                    table.names.insert(name.clone(), served.clone());
-                }
-            }
-        }
-        let group = first.and_then(|id| self.groups.get(id)).or_else(|| self.groups.values().next());
-        table.default = group.and_then(|g| g.served.first()).map(|(_, served)| served.clone());
-        Arc::new(table)
-    }
-}
-
-impl Table {
-    fn find(&self, name: Option<&str>) -> Option<&Served> {
-        let Some(name) = name else { return self.default.as_ref() };
-        let name = name.to_ascii_lowercase();
-        let wild = || name.split_once('.').and_then(|(_, rest)| self.names.get(&format!("*.{rest}")));
-        self.names.get(&name).or_else(wild)
-    }
-}
-
 enum Phase {
     Hello(Box<Acceptor>),
     Shake(Box<ServerConnection>),
@@ -331,7 +210,7 @@
                 u64::from(connection.handshake_kind() == Some(rustls::HandshakeKind::Resumed));
             // What answered a challenge has nothing more to say.
             if connection.alpn_protocol() == Some(BINARY) {
-                turn.effects.push(Effect::Client(socket, connection));
+                turn.effects.push(Effect::Secured(Secured::Client(socket, connection)));
             }
         }
     }
@@ -428,14 +307,14 @@
     let offers = |wanted: &[u8]| hello.alpn().is_some_and(|mut all| all.any(|p| p == wanted));
     if offers(ACME) {
         let proof = name.and_then(|n| proofs.get(&n.to_ascii_lowercase()));
-        return proof.map(|p| Arc::clone(&p.0)).ok_or((UNRECOGNIZED_NAME, "no-challenge"));
+        return proof.map(|p| p.config()).ok_or((UNRECOGNIZED_NAME, "no-challenge"));
     }
     if !offers(BINARY) {
         return Err((NO_APPLICATION_PROTOCOL, "no-protocol"));
     }
     let served = match table.find(name) {
         Some(served) => served,
-        None if table.default.is_none() => return Err((INTERNAL_ERROR, "no-certificate")),
+        None if !table.any() => return Err((INTERNAL_ERROR, "no-certificate")),
         None => return Err((UNRECOGNIZED_NAME, "unknown-name")),
     };
     let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs();
@@ -485,14 +364,16 @@
 
     fn told(&mut self, turn: &mut Turn<'_>, effect: &Effect) {
         match effect {
-            Effect::Certificates(table) => self.table = Arc::clone(table),
-            Effect::Prove(name, Some(proof)) => drop(self.proofs.insert(name.clone(), Arc::clone(proof))),
-            Effect::Prove(name, None) => drop(self.proofs.remove(name)),
+            Effect::Secured(Secured::Certificates(table)) => self.table = Arc::clone(table),
+            Effect::Secured(Secured::Prove(name, Some(proof))) => {
+                drop(self.proofs.insert(name.clone(), Arc::clone(proof)))
+            }
+            Effect::Secured(Secured::Prove(name, None)) => drop(self.proofs.remove(name)),
             Effect::Word(number, word, _) if word == "tls" => {
                 let counts = &self.counts;
                 let state = json!({
                     "at": self.at.to_string(), "accepting": self.accepting, "under_way": self.all.len(),
-                    "names": self.table.names.len(), "accepted": counts.accepted,
+                    "names": self.table.len(), "accepted": counts.accepted,
                     "complete": counts.complete, "resumed": counts.resumed, "displaced": counts.displaced,
                     "late": counts.late, "failed": counts.failed, "core_us": counts.core_us,
                 });
--- /dev/null
+++ b/front/src/program/floors.rs
@@ -0,0 +1,57 @@
+//! Carries out for the front what the ledger of purges brought about.
+use super::drivers::{Effect, Purging};
+use crate::routing::{Floors, Front};
+use cranesill::api::Time;
+use cranesill_daemon::WithoutContact;
+use cranesill_purges::contact::{Contact, Without};
+use cranesill_purges::shield::Shield;
+
+/// Takes news of the ledger over; what is to be done elsewhere for it.
+pub fn take(front: &mut Front, now: Time, news: Purging) -> Option<Effect> {
+    let job = |floors: &mut Floors| floors.job().map(|job| Effect::Purges(Purging::Compile(job)));
+    match news {
+        Purging::Floors(settings, all) => {
+            let mut floors = Floors::new(settings.index_bytes, settings.skew_ms);
+            all.into_iter().for_each(|at| floors.add_all(at));
+            floors.contact = settings.follow.map(|follow| {
+                let without = match follow.without_contact {
+                    WithoutContact::Strict => Without::Strict,
+                    WithoutContact::Available => Without::Available,
+                };
+                Contact::lost(now, now / 1_000, follow.lease_ms * 1_000, without)
+            });
+            front.floors = Some(floors);
+            front.shield = settings.shield_per_s.map(|n| Shield::new(now, n.into()));
+        }
+        Purging::Purged(purges) => {
+            if let Some(floors) = &mut front.floors {
+                purges.iter().for_each(|purge| floors.add(purge));
+                return job(floors);
+            }
+        }
+        Purging::Everything(at) => {
+            front.floors.iter_mut().for_each(|floors| floors.add_all(at));
+        }
+        Purging::Contact => {
+            let contact = front.floors.as_mut().and_then(|f| f.contact.as_mut());
+            if contact.is_some_and(|contact| contact.heard(now, now / 1_000)) {
+                tracing::info!("purges: contact with the ledger again");
+            }
+        }
+        Purging::Confirmed(number) => {
+            front.floors.iter_mut().for_each(|floors| floors.confirmed = number);
+        }
+        Purging::Horizon(horizon) => {
+            front.floors.iter_mut().for_each(|floors| floors.expire(horizon));
+        }
+        Purging::Compiled(set) => {
+            if let Some(floors) = &mut front.floors {
+                floors.install(*set);
+                return job(floors);
+            }
+        }
+        // It is a driver's.
+        Purging::Compile(_) => {}
+    }
+    None
+}
--- a/front/src/program/serve.rs
+++ b/front/src/program/serve.rs
@@ -1,25 +1,24 @@
 //! The loop.
-use super::certs::Certs;
 use super::clients::{Clients, Heard};
 use super::config::Config;
-use super::control::Control;
-use super::driver::{slot_of, Driver, Effect, Turn};
+use super::drivers::certs::Certs;
+use super::drivers::control::Control;
+use super::drivers::ops::Ops;
+use super::drivers::purges::{what, Purges};
+use super::drivers::tls::Tls;
+use super::drivers::{slot_of, Driver, Effect, Purging, Secured, Turn};
 use super::feed::Feed;
+use super::floors;
 use super::log::Log;
 use super::members::{Ends, Members};
-use super::ops::Ops;
-use super::purges::Purges;
 use super::shared::{Shared, OUT_MOST};
-use super::tls::Tls;
 use crate::protocol::feed::{Listing, News};
 use crate::protocol::member::name_of;
 use crate::protocol::ops::member_id;
-use crate::routing::{Answer, AttemptId, Command, End, Floors, Front, Wake};
+use crate::routing::{Answer, AttemptId, Command, End, Front, Wake};
 use crate::transport::{inherited, listen, Clock, Deadlines, Reactor, Registered};
 use cranesill::api::{Entry, Listed, MemberId, Span, Time};
-use cranesill_daemon::{changes, Daemon, Level, WithoutContact};
-use cranesill_purges::contact::{Contact, Without};
-use cranesill_purges::shield::Shield;
+use cranesill_daemon::{changes, Daemon, Level};
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
@@ -242,46 +241,11 @@
         while !self.effects.is_empty() {
             for effect in std::mem::take(&mut self.effects) {
                 match effect {
-                    Effect::Client(socket, connection) => self.secured(now, socket, *connection),
-                    Effect::Floors(settings, all) => {
-                        let mut floors = Floors::new(settings.index_bytes, settings.skew_ms);
-                        all.into_iter().for_each(|at| floors.add_all(at));
-                        floors.contact = settings.follow.map(|follow| {
-                            let without = match follow.without_contact {
-                                WithoutContact::Strict => Without::Strict,
-                                WithoutContact::Available => Without::Available,
-                            };
-                            Contact::lost(now, now / 1_000, follow.lease_ms * 1_000, without)
-                        });
-                        self.front.floors = Some(floors);
-                        self.front.shield = settings.shield_per_s.map(|n| Shield::new(now, n.into()));
+                    Effect::Secured(Secured::Client(socket, connection)) => {
+                        self.secured(now, socket, *connection)
                     }
-                    Effect::Purged(purges) => {
-                        if let Some(floors) = &mut self.front.floors {
-                            purges.iter().for_each(|purge| floors.add(purge));
-                            self.effects.extend(floors.job().map(Effect::Compile));
-                        }
-                    }
-                    Effect::Everything(at) => {
-                        self.front.floors.iter_mut().for_each(|floors| floors.add_all(at));
-                    }
-                    Effect::Contact => {
-                        let contact = self.front.floors.as_mut().and_then(|f| f.contact.as_mut());
-                        if contact.is_some_and(|contact| contact.heard(now, now / 1_000)) {
-                            tracing::info!("purges: contact with the ledger again");
-                        }
-                    }
-                    Effect::Confirmed(number) => {
-                        self.front.floors.iter_mut().for_each(|floors| floors.confirmed = number);
-                    }
-                    Effect::Horizon(horizon) => {
-                        self.front.floors.iter_mut().for_each(|floors| floors.expire(horizon));
-                    }
-                    Effect::Compiled(set) => {
-                        if let Some(floors) = &mut self.front.floors {
-                            floors.install(*set);
-                            self.effects.extend(floors.job().map(Effect::Compile));
-                        }
+                    Effect::Purges(news) if !matches!(news, Purging::Compile(_)) => {
+                        self.effects.extend(floors::take(&mut self.front, now, news));
                     }
                     Effect::Word(number, word, args) if WORDS.iter().any(|(w, _)| *w == word) => {
                         match self.word(now, &word, &args) {
@@ -338,7 +302,7 @@
                 Ok(json!(format!("level is {level:?}").to_lowercase()))
             }
             "purge-dry" => {
-                let what = super::purges::what(args)?;
+                let what = what(args)?;
                 let floors = self.front.floors.as_ref().ok_or("purges are off")?;
                 let (known, matched) = floors.matched(&what);
                 Ok(json!({"known_objects": known, "matched": matched}))
