--- /dev/null
+++ b/rig/src/clients.rs
@@ -0,0 +1,167 @@
+//! Clients: one thread a front, one request at a time, each noted with what became of it.
+use crate::history::{History, Seen};
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+/// Bytes of a frame at most.
+const FRAME_MOST: usize = 1 << 18;
+
+/// For how long a client waits on after the moment at which it said that it gives up: what comes then is seen to be late.
+const PATIENCE: Duration = Duration::from_secs(1);
+
+/// What clients ask.
+#[derive(Clone, Debug)]
+pub struct Asks {
+    /// Classes that may run twice and those that must not; one in ten is of the latter.
+    pub read: String,
+    /// The class that must not run twice.
+    pub write: String,
+    /// Different objects.
+    pub objects: u64,
+    /// Pause after an answer.
+    pub pause: Duration,
+    /// When a client gives up.
+    pub limit: Duration,
+}
+
+/// Clients of all fronts, until they are let go.
+pub struct Clients {
+    over: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+/// Where each front listens now; `None`: it does not.
+pub type Addresses = Arc<Mutex<Vec<Option<SocketAddr>>>>;
+
+impl Clients {
+    /// Begins to ask each front.
+    pub fn begin(history: &History, addresses: &Addresses, asks: &Asks, seed: u64) -> Self {
+        let over = Arc::new(AtomicBool::new(false));
+        let count = addresses.lock().expect("no holder panics").len();
+        let threads = (0..count).map(|front| {
+            let (history, addresses, asks) = (history.clone(), Arc::clone(addresses), asks.clone());
+            let over = Arc::clone(&over);
+            let dice = (seed ^ (front as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15)) | 1;
+            thread::spawn(move || Client { front, dice, stream: 0, asks }.run(&history, &addresses, &over))
+        });
+        Clients { threads: threads.collect(), over }
+    }
+
+    /// No new requests; waits until what was asked is answered or given up.
+    pub fn end(mut self) {
+        self.over.store(true, Ordering::SeqCst);
+        for thread in self.threads.drain(..) {
+            thread.join().expect("a client does not panic");
+        }
+    }
+}
+
+impl Drop for Clients {
+    fn drop(&mut self) {
+        self.over.store(true, Ordering::SeqCst);
+    }
+}
+
+struct Client {
+    front: usize,
+    dice: u64,
+    stream: u32,
+    asks: Asks,
+}
+
+fn field(payload: &mut Vec<u8>, name: &str, value: &str) {
+    payload.push(name.len() as u8);
+    payload.extend(name.bytes());
+    payload.extend((value.len() as u16).to_be_bytes());
+    payload.extend(value.bytes());
+}
+
+impl Client {
+    fn roll(&mut self) -> u64 {
+        self.dice ^= self.dice << 13;
+        self.dice ^= self.dice >> 7;
+        self.dice ^= self.dice << 17;
+        self.dice
+    }
+
+    fn run(mut self, history: &History, addresses: &Addresses, over: &AtomicBool) {
+        while !over.load(Ordering::SeqCst) {
+            let address = addresses.lock().expect("no holder panics")[self.front];
+            match address.and_then(|at| TcpStream::connect(at).ok()) {
+                Some(socket) => {
+                    // A connection to a process that was killed is of no use: what is asked there was taken by nobody.
+                    let front = self.front;
+                    let same = || addresses.lock().expect("no holder panics")[front] == address;
+                    while !over.load(Ordering::SeqCst) && same() && self.once(&socket, history).is_ok() {
+                        thread::sleep(self.asks.pause);
+                    }
+                }
+                None => thread::sleep(Duration::from_millis(5)),
+            }
+        }
+    }
+
+    /// Asks once and hears the answer. An error: the connection is of no further use.
+    fn once(&mut self, mut socket: &TcpStream, history: &History) -> std::io::Result<()> {
+        self.stream += 1;
+        let (front, stream) = (self.front, self.stream);
+        let txn = ((front as u64 + 1) << 40) | u64::from(stream);
+        let write = self.roll().is_multiple_of(10);
+        let (class, item) =
+            (if write { &self.asks.write } else { &self.asks.read }.clone(), self.roll() % self.asks.objects);
+        let mut payload = vec![4];
+        field(&mut payload, "verb", &class);
+        field(&mut payload, "txn", &format!("{txn:016x}"));
+        field(&mut payload, "limit", &self.asks.limit.as_millis().to_string());
+        field(&mut payload, "item", &format!("{item:016x}"));
+        if write {
+            payload.extend(b"keys");
+        }
+        let length = (5 + payload.len()) as u32;
+        let frame = [&length.to_be_bytes()[..], &[10], &stream.to_be_bytes(), &payload].concat();
+        history.note(Seen::Asked { front, txn });
+        let until = Instant::now() + self.asks.limit + PATIENCE;
+        let done = socket.write_all(&frame).and_then(|()| self.hear(socket, history, txn, until));
+        if done.is_err() {
+            // The connection ended, or it is given up.
+            history.note(Seen::Lost(front, txn));
+        }
+        done
+    }
+
+    fn hear(
+        &self,
+        mut socket: &TcpStream,
+        history: &History,
+        txn: u64,
+        until: Instant,
+    ) -> std::io::Result<()> {
+        loop {
+            let left = until.saturating_duration_since(Instant::now()).max(Duration::from_millis(1));
+            socket.set_read_timeout(Some(left))?;
+            let mut length = [0; 4];
+            socket.read_exact(&mut length)?;
+            let length = u32::from_be_bytes(length) as usize;
+            if !(5..=FRAME_MOST).contains(&length) {
+                return Err(ErrorKind::InvalidData.into());
+            }
+            let mut frame = vec![0; length];
+            socket.read_exact(&mut frame)?;
+            if frame[0] != 11 {
+                // The front takes nothing more here: the next request goes elsewhere.
+                continue;
+            }
+            let stream = u32::from_be_bytes([frame[1], frame[2], frame[3], frame[4]]);
+            let code = frame.get(5).copied().unwrap_or(0);
+            let of = ((self.front as u64 + 1) << 40) | u64::from(stream);
+            history.note(Seen::Answered(self.front, of, code));
+            if of == txn {
+                return Ok(());
+            }
+        }
+    }
+}
--- a/rig/src/fleet.rs
+++ b/rig/src/fleet.rs
@@ -1,9 +1,11 @@
 //! Processes of the program.
 use serde_json::Value;
 use std::io::Write;
+use std::net::SocketAddr;
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
 
 /// Some processes of the program, each with a configuration of its own. All are ended with this.
 pub struct Fleet {
@@ -11,6 +13,8 @@
     folder: tempfile::TempDir,
     settings: Option<PathBuf>,
     processes: Vec<Option<Child>>,
+    /// How often each was started.
+    starts: Vec<usize>,
 }
 
 impl Fleet {
@@ -29,7 +33,8 @@
             std::fs::write(&file, settings.to_string()).expect("a file");
             file
         });
-        let mut fleet = Fleet { binary: binary.to_path_buf(), folder, settings: own, processes: Vec::new() };
+        let (binary, starts) = (binary.to_path_buf(), vec![1; count]);
+        let mut fleet = Fleet { binary, folder, settings: own, processes: Vec::new(), starts };
         for n in 0..count {
             let file = std::fs::File::create(fleet.file(n))
                 .and_then(|mut f| f.write_all(config(n).to_string().as_bytes()));
@@ -95,20 +100,41 @@
         for n in which {
             if self.processes[n].is_none() {
                 self.processes[n] = Some(self.spawn(n));
+                self.starts[n] += 1;
             }
         }
     }
 
+    /// What one has logged.
+    pub fn log(&self, n: usize) -> String {
+        std::fs::read_to_string(self.folder.path().join(format!("{n}.log"))).unwrap_or_default()
+    }
+
+    /// Where the latest process of a front listens, once it does.
+    pub fn address(&self, n: usize) -> SocketAddr {
+        let until = Instant::now() + crate::GUARD;
+        loop {
+            let log = self.log(n);
+            let lines: Vec<_> = log.lines().filter(|line| line.contains(" listening ")).collect();
+            let at =
+                lines.get(self.starts[n] - 1).and_then(|line| line.split_once(" at=")?.1.split(' ').next());
+            if let Some(at) = at.and_then(|at| at.parse().ok()) {
+                return at;
+            }
+            assert!(Instant::now() < until, "front {n} does not listen: {log}");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
     /// Those that have ended by themselves, each with its log.
     pub fn dead(&mut self) -> Vec<(usize, String)> {
         let mut dead = Vec::new();
         for (n, child) in self.processes.iter_mut().enumerate() {
             if child.as_mut().is_some_and(|child| !matches!(child.try_wait(), Ok(None))) {
-                let log = self.folder.path().join(format!("{n}.log"));
-                dead.push((n, std::fs::read_to_string(log).unwrap_or_default()));
+                dead.push(n);
             }
         }
-        dead
+        dead.into_iter().map(|n| (n, self.log(n))).collect()
     }
 }
 
--- a/rig/src/history.rs
+++ b/rig/src/history.rs
@@ -2,10 +2,10 @@
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
-/// Something that was seen at the list service.
+/// Something that was seen at a stand-in or done by the test. Fronts go by their number, nodes by their id, requests by theirs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Seen {
-    /// A connection was accepted.
+    /// The list service accepted a connection.
     Call,
     /// A front named the last event that it holds, and is served from there.
     Served(u64),
@@ -13,6 +13,56 @@
     Left,
     /// The test changed something.
     Mark,
+    /// An event was written to a front.
+    Told(usize, u64),
+    /// A front was killed: it knows nothing more than its configuration.
+    Killed(usize),
+    /// A front was stopped.
+    Stopped(usize),
+    /// A front that was stopped goes on, or one that was killed is there again.
+    Going(usize),
+    /// A front is not reached by the list service from now on, in one direction or both.
+    Deaf(usize),
+    /// It is again.
+    Hears(usize),
+    /// What is said to a node may not arrive, or late, from now on; by a link of a side (from 1 on) or by itself (0).
+    Veiled(u32, usize),
+    /// It does again, as far as that is concerned.
+    Clear(u32, usize),
+    /// A node accepted a connection.
+    Dialled(u32),
+    /// A request came to a node.
+    Sent {
+        /// To whom it came.
+        node: u32,
+        /// Which it is.
+        txn: u64,
+        /// Whether it is one that must not run twice.
+        write: bool,
+        /// The object.
+        item: u64,
+        /// Whom it names to fill a miss, or 0.
+        source: u32,
+    },
+    /// A request that must not run twice was run.
+    Ran(u64),
+    /// A node was told that nobody waits any more.
+    Off(u32, u64),
+    /// The connection on which a request came to a node has ended.
+    Cut(u32, u64),
+    /// A node answered, from a copy of that age in Unix milliseconds or from none (0).
+    Done(u32, u64, u64),
+    /// A client asked a front.
+    Asked {
+        /// Which front.
+        front: usize,
+        /// Its id.
+        txn: u64,
+    },
+    /// The client was answered: 1 served, 2 refused, 3 failed.
+    Answered(usize, u64, u8),
+    /// The client's connection ended before it was answered, or the client gave up.
+    Lost(usize, u64),
 }
 
 /// Moments with what was seen at them.
@@ -36,6 +86,7 @@
     pub fn note(&self, seen: Seen) {
         let (all, more) = &*self.all;
         let mut all = all.lock().expect("no holder panics");
+        // Under the lock: what is later in the history is not earlier in time.
         all.push((self.began.elapsed(), seen));
         more.notify_all();
     }
@@ -51,6 +102,16 @@
         all.iter().filter(|(_, seen)| of(seen)).map(|(at, _)| *at).collect()
     }
 
+    /// All that was seen, in order.
+    pub fn all(&self) -> Vec<(Duration, Seen)> {
+        self.all.0.lock().expect("no holder panics").clone()
+    }
+
+    /// How many of these were seen.
+    pub fn count(&self, of: impl Fn(&Seen) -> bool) -> usize {
+        self.moments(of).len()
+    }
+
     /// Waits until so many of these were seen, and returns when the last of them was. Panics with what was seen last if that
     /// takes longer than the guard.
     pub fn until(&self, what: &str, count: usize, of: impl Fn(&Seen) -> bool) -> Duration {
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -1,4 +1,4 @@
-//! Several processes of the program with a list service under a test's hand, one history of what crossed its sockets, and
+//! Several processes of the program with a list service, nodes, links and clients under a test's hand, one history of what crossed its sockets, and
 //! checkers that read it. Never a dependency of what ships.
 //!
 //! Verdicts rest on what was seen at the service, never on what a process says of itself. A test waits for events, each with
@@ -6,15 +6,27 @@
 //! also when the test dies: the system ends them with the thread that began them.
 #![deny(missing_docs)]
 
+mod clients;
+mod event;
 mod fleet;
 mod history;
 mod link;
 mod list;
+mod nodes;
+mod rules;
+mod script;
+mod stage;
 
+pub use clients::{Asks, Clients};
+pub use event::{Event, Listed, State};
 pub use fleet::Fleet;
 pub use history::{History, Seen};
 pub use link::{Link, Way};
 pub use list::{ListService, Mode};
+pub use nodes::{Mood, Nodes};
+pub use rules::{around, breaches, Breach, Limits};
+pub use script::{Fault, Script};
+pub use stage::{Shape, Stage};
 
 use std::time::Duration;
 
--- a/rig/src/list.rs
+++ b/rig/src/list.rs
@@ -1,15 +1,21 @@
 //! The list service as a stand-in: what it does with those that call is the test's to say, from one moment to the next.
+use crate::event::Event;
 use crate::history::{History, Seen};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-/// How often the service looks whether the test has said something else, and sends an empty frame.
-const TURN: Duration = Duration::from_millis(100);
+/// How often the service looks whether the test has said something else.
+const TURN: Duration = Duration::from_millis(20);
+/// How often it sends an empty frame.
 const FRAME: Duration = Duration::from_secs(1);
+/// Pause between two bytes of one that answers by the byte.
+const BYTE: Duration = Duration::from_millis(30);
+/// The number of the first event that the service tells; a front's configuration holds the one before.
+pub const FIRST: u64 = 2;
 
 /// What the service does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -24,87 +30,118 @@
     Garbage,
     /// It sends part of an event and closes.
     Torn,
-    /// It serves: nothing new, once a second.
+    /// It serves by the byte: an event takes seconds.
+    Drips,
+    /// It serves: what is new, and once a second that nothing is.
     Serves,
 }
 
-/// A list service that the test holds in its hand. Connections that were served are closed when it stops serving.
+/// Events, and under which addresses each door's fronts reach the nodes.
+type Told = Arc<Mutex<(Vec<Event>, Vec<Vec<SocketAddr>>)>>;
+
+/// A list service that the test holds in its hand. Connections that were served are closed when it stops serving. Each front
+/// calls at a door of its own, so that the history says who was told.
 pub struct ListService {
-    /// Where it listens.
+    /// Where it listens: the first door.
     pub address: SocketAddr,
+    /// All doors.
+    pub doors: Vec<SocketAddr>,
+    hand: Hand,
+}
+
+#[derive(Clone)]
+struct Hand {
     mode: Arc<Mutex<Mode>>,
     over: Arc<AtomicBool>,
+    told: Told,
     history: History,
 }
 
 impl ListService {
-    /// Begins in a mode.
+    /// Begins in a mode, with one door for all.
     pub fn new(history: &History, mode: Mode) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-        let address = listener.local_addr().expect("bound");
+        Self::with_doors(history, mode, vec![Vec::new()])
+    }
+
+    /// Begins in a mode, with a door for each of these; who calls there reaches the nodes at those addresses.
+    pub fn with_doors(history: &History, mode: Mode, addresses: Vec<Vec<SocketAddr>>) -> Self {
+        let listeners: Vec<_> =
+            addresses.iter().map(|_| TcpListener::bind("127.0.0.1:0").expect("a port")).collect();
+        let doors: Vec<_> = listeners.iter().map(|l| l.local_addr().expect("bound")).collect();
         let (mode, over) = (Arc::new(Mutex::new(mode)), Arc::new(AtomicBool::new(false)));
-        let service = ListService { address, mode, over, history: history.clone() };
-        let (mode, over, history) = (Arc::clone(&service.mode), Arc::clone(&service.over), history.clone());
-        thread::spawn(move || listen(listener, address, &mode, &over, &history));
-        service
+        let told = Arc::new(Mutex::new((Vec::new(), addresses)));
+        let hand = Hand { mode, over, told, history: history.clone() };
+        let (own, at) = (hand.clone(), doors.clone());
+        thread::spawn(move || listen(listeners, &at, &own));
+        ListService { address: doors[0], doors, hand }
     }
 
     /// From now on it does this.
     pub fn set(&self, mode: Mode) {
-        *self.mode.lock().expect("no holder panics") = mode;
-        self.history.note(Seen::Mark);
+        *self.hand.mode.lock().expect("no holder panics") = mode;
+        self.hand.history.note(Seen::Mark);
+    }
+
+    /// Has one more event to tell; its number.
+    pub fn tell(&self, event: Event) -> u64 {
+        let events = &mut self.hand.told.lock().expect("no holder panics").0;
+        events.push(event);
+        FIRST + events.len() as u64 - 1
+    }
+
+    /// The service begins anew: it holds no event, and numbers begin with the first. Who is connected is closed with
+    /// the next change of mode.
+    pub fn forget(&self) {
+        self.hand.told.lock().expect("no holder panics").0.clear();
+    }
+
+    /// All that it has told or would tell, from the number [`FIRST`] on.
+    pub fn events(&self) -> Vec<Event> {
+        self.hand.told.lock().expect("no holder panics").0.clone()
     }
 }
 
 impl Drop for ListService {
     fn drop(&mut self) {
-        self.over.store(true, Ordering::SeqCst);
+        self.hand.over.store(true, Ordering::SeqCst);
     }
 }
 
-fn listen(
-    first: TcpListener,
-    address: SocketAddr,
-    mode: &Arc<Mutex<Mode>>,
-    over: &Arc<AtomicBool>,
-    history: &History,
-) {
-    let mut listener = Some(first);
-    while !over.load(Ordering::SeqCst) {
-        let now = *mode.lock().expect("no holder panics");
+fn listen(first: Vec<TcpListener>, doors: &[SocketAddr], hand: &Hand) {
+    let mut listeners: Vec<_> = first.into_iter().map(Some).collect();
+    while !hand.over.load(Ordering::SeqCst) {
+        let now = *hand.mode.lock().expect("no holder panics");
         if now == Mode::Down {
-            listener = None;
-            thread::sleep(TURN / 20);
+            listeners.iter_mut().for_each(|listener| *listener = None);
+            thread::sleep(TURN / 4);
             continue;
         }
-        let Some(here) = listener.as_ref() else {
-            // The port is kept free of others by having been this service's: it is tried for until it is had again.
-            listener = TcpListener::bind(address).ok();
-            continue;
-        };
-        here.set_nonblocking(true).expect("a socket");
-        let Ok((socket, _)) = here.accept() else {
-            thread::sleep(TURN / 50);
-            continue;
-        };
-        history.note(Seen::Call);
-        let (mode, over, history) = (Arc::clone(mode), Arc::clone(over), history.clone());
-        thread::spawn(move || {
-            // A front that goes away ends its connection: that is no fault of the service.
-            let _ = serve(socket, now, &mode, &over, &history);
-        });
+        let mut any = false;
+        for (door, listener) in listeners.iter_mut().enumerate() {
+            let Some(here) = listener.as_ref() else {
+                // The port is kept free of others by having been this service's: it is tried for until it is had again.
+                *listener = TcpListener::bind(doors[door]).ok();
+                continue;
+            };
+            here.set_nonblocking(true).expect("a socket");
+            let Ok((socket, _)) = here.accept() else { continue };
+            any = true;
+            hand.history.note(Seen::Call);
+            let hand = hand.clone();
+            thread::spawn(move || {
+                // A front that goes away ends its connection: that is no fault of the service.
+                let _ = serve(socket, door, now, &hand);
+            });
+        }
+        if !any {
+            thread::sleep(Duration::from_millis(2));
+        }
     }
 }
 
-fn serve(
-    mut socket: TcpStream,
-    as_of: Mode,
-    mode: &Mutex<Mode>,
-    over: &AtomicBool,
-    history: &History,
-) -> std::io::Result<()> {
+fn serve(mut socket: TcpStream, door: usize, as_of: Mode, hand: &Hand) -> std::io::Result<()> {
     socket.set_nonblocking(false)?;
-    let still = || !over.load(Ordering::SeqCst) && *mode.lock().expect("no holder panics") == as_of;
+    let still = || !hand.over.load(Ordering::SeqCst) && *hand.mode.lock().expect("no holder panics") == as_of;
     match as_of {
         Mode::Down | Mode::Closes => Ok(()),
         Mode::Silent => {
@@ -115,34 +152,61 @@
         }
         Mode::Garbage => socket.write_all(&[0xff; 64]),
         Mode::Torn => socket.write_all(&[0, 0, 0, 40, 0, 0]),
-        Mode::Serves => {
+        Mode::Drips | Mode::Serves => {
             let mut last = [0; 8];
             socket.read_exact(&mut last)?;
-            history.note(Seen::Served(u64::from_be_bytes(last)));
-            socket.set_read_timeout(Some(TURN))?;
-            let frame = [&9u32.to_be_bytes()[..], &last, &[0]].concat();
-            let mut due = Duration::ZERO;
-            let done = loop {
-                if !still() {
-                    break Ok(());
-                }
-                if due.is_zero() {
-                    if let Err(e) = socket.write_all(&frame) {
-                        break Err(e);
+            hand.history.note(Seen::Served(u64::from_be_bytes(last)));
+            let done = tell(&socket, door, u64::from_be_bytes(last), as_of == Mode::Drips, &still, hand);
+            hand.history.note(Seen::Left);
+            done
+        }
+    }
+}
+
+fn tell(
+    mut socket: &TcpStream,
+    door: usize,
+    mut last: u64,
+    drips: bool,
+    still: &dyn Fn() -> bool,
+    hand: &Hand,
+) -> std::io::Result<()> {
+    socket.set_read_timeout(Some(TURN))?;
+    let mut due = Instant::now();
+    while still() {
+        let next = {
+            let told = hand.told.lock().expect("no holder panics");
+            let place = (last + 1).saturating_sub(FIRST) as usize;
+            let number = FIRST + place as u64;
+            told.0.get(place).map(|event| (number, event.frame(number, &told.1[door])))
+        };
+        if let Some((number, frame)) = next {
+            if drips {
+                for byte in frame {
+                    socket.write_all(&[byte])?;
+                    thread::sleep(BYTE);
+                    if !still() {
+                        return Ok(());
                     }
-                    due = FRAME;
-                }
-                // A front says nothing more: what can be read is its end.
-                match socket.read(&mut [0; 8]) {
-                    Ok(0) => break Ok(()),
-                    Ok(_) => {}
-                    Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
-                    Err(e) => break Err(e),
                 }
-                due = due.saturating_sub(TURN);
-            };
-            history.note(Seen::Left);
-            done
+            } else {
+                socket.write_all(&frame)?;
+            }
+            hand.history.note(Seen::Told(door, number));
+            last = number;
+            continue;
+        }
+        if Instant::now() >= due {
+            socket.write_all(&[&9u32.to_be_bytes()[..], &last.to_be_bytes(), &[0]].concat())?;
+            due = Instant::now() + FRAME;
+        }
+        // A front says nothing more: what can be read is its end.
+        match socket.read(&mut [0; 8]) {
+            Ok(0) => return Ok(()),
+            Ok(_) => {}
+            Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
+            Err(e) => return Err(e),
         }
     }
+    Ok(())
 }
--- /dev/null
+++ b/rig/src/nodes.rs
@@ -0,0 +1,454 @@
+//! Cache nodes, parents and the origin as stand-ins, all on one thread with a poller: many fronts times many nodes are
+//! thousands of connections. They hold old copies for as long as nobody asks for newer ones, which is the worst that the
+//! protocol allows.
+use crate::history::{History, Seen};
+use polling::{Event, Events, PollMode, Poller};
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Bytes that a front may say before the stand-in takes it for broken.
+const INPUT_MOST: usize = 1 << 20;
+/// Strings of a command, and bytes of one.
+const STRINGS_MOST: usize = 8;
+const STRING_MOST: usize = 1 << 17;
+
+/// What a node does with what it is asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mood {
+    /// It answers after this long.
+    Answers(Duration),
+    /// It reads and never answers.
+    Silent,
+    /// It reads nothing: what is said to it waits.
+    Frozen,
+    /// It has no place for anything.
+    Full,
+    /// It fails at all, and may have run it.
+    Faults,
+    /// It answers what nobody can read.
+    Garbage,
+    /// It sends half of each answer.
+    Torn,
+    /// It answers twice, and answers what was given up as well.
+    Stubborn,
+    /// Nobody listens, and what was open is reset.
+    Dead,
+}
+
+/// Unix milliseconds.
+pub fn wall_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
+
+/// Nodes that a test holds in its hand.
+pub struct Nodes {
+    /// Id and address of each.
+    pub all: Vec<(u32, SocketAddr)>,
+    shared: Arc<Shared>,
+    history: History,
+}
+
+struct Shared {
+    moods: Mutex<Vec<Mood>>,
+    over: Mutex<bool>,
+    poller: Poller,
+}
+
+impl Nodes {
+    /// Begins with these ids; all answer at once. Classes of these names must not run twice.
+    pub fn new(history: &History, ids: &[u32], writes: &[&str]) -> Self {
+        let poller = Poller::new().expect("a poller");
+        let moods = Mutex::new(vec![Mood::Answers(Duration::ZERO); ids.len()]);
+        let shared = Arc::new(Shared { moods, over: Mutex::new(false), poller });
+        let mut nodes = Vec::new();
+        for id in ids {
+            let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+            let address = listener.local_addr().expect("bound");
+            let mood = Mood::Answers(Duration::ZERO);
+            nodes.push(Node { id: *id, address, listener: Some(listener), mood, copies: HashMap::new() });
+        }
+        let all = nodes.iter().map(|node| (node.id, node.address)).collect();
+        let writes = writes.iter().map(|name| name.to_string()).collect();
+        let (own, history) = (Arc::clone(&shared), history.clone());
+        let noted = history.clone();
+        thread::spawn(move || {
+            let world = World {
+                shared: &own,
+                history: &history,
+                nodes,
+                writes,
+                links: HashMap::new(),
+                last: 0,
+                due: BinaryHeap::new(),
+            };
+            world.run();
+        });
+        Nodes { all, shared, history: noted }
+    }
+
+    /// From now on this node does that.
+    pub fn set(&self, place: usize, mood: Mood) {
+        let id = self.all[place].0;
+        // What reads nothing hears of nothing: the checkers must not hold a front to what it could not make known.
+        let seen = if matches!(mood, Mood::Frozen) { Seen::Veiled(id, 0) } else { Seen::Clear(id, 0) };
+        self.history.note(seen);
+        self.shared.moods.lock().expect("no holder panics")[place] = mood;
+        self.shared.poller.notify().expect("a poller");
+    }
+}
+
+impl Drop for Nodes {
+    fn drop(&mut self) {
+        *self.shared.over.lock().expect("no holder panics") = true;
+        let _ = self.shared.poller.notify();
+    }
+}
+
+struct Node {
+    id: u32,
+    address: SocketAddr,
+    listener: Option<TcpListener>,
+    mood: Mood,
+    /// When each copy was made.
+    copies: HashMap<u64, u64>,
+}
+
+struct Link {
+    place: usize,
+    socket: TcpStream,
+    input: Vec<u8>,
+    output: Vec<u8>,
+    /// Requests that are not answered yet.
+    open: Vec<u64>,
+}
+
+/// An answer that is due: when, in which order, on which connection, to what, and how.
+type Due = Reverse<(Instant, u64, usize, u64, Word)>;
+
+/// What an answer says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Word {
+    /// Served from a copy of that age.
+    Hit(u64),
+    Miss,
+    Full,
+    Fault,
+}
+
+struct World<'a> {
+    shared: &'a Shared,
+    history: &'a History,
+    nodes: Vec<Node>,
+    writes: Vec<String>,
+    links: HashMap<usize, Link>,
+    last: u64,
+    due: BinaryHeap<Due>,
+}
+
+/// A request as it was read.
+#[derive(Default)]
+struct Fetch {
+    class: String,
+    item: u64,
+    source: u32,
+    /// The age in milliseconds up to which a copy will do; 0: any.
+    oldest: u64,
+    only_held: bool,
+}
+
+fn hex(text: &str) -> u64 {
+    u64::from_str_radix(text, 16).unwrap_or(0)
+}
+
+/// The strings of a command, and its length in bytes.
+type Command<'a> = (Vec<&'a [u8]>, usize);
+
+/// The first command. `None`: it is not whole. An error: no front writes this.
+fn command(input: &[u8]) -> Result<Option<Command<'_>>, ()> {
+    let number = |at: usize, mark: u8, most: usize| {
+        let Some(end) = input[at..].iter().position(|b| *b == b'\n') else {
+            return if input.len() > at + 12 { Err(()) } else { Ok(None) };
+        };
+        let text = input[at..at + end].strip_prefix(&[mark]).and_then(|t| t.strip_suffix(b"\r")).ok_or(())?;
+        let n: usize = std::str::from_utf8(text).ok().and_then(|t| t.parse().ok()).ok_or(())?;
+        if n > most {
+            return Err(());
+        }
+        Ok(Some((n, at + end + 1)))
+    };
+    let Some((count, mut at)) = number(0, b'*', STRINGS_MOST)? else { return Ok(None) };
+    let mut parts = Vec::with_capacity(count);
+    for _ in 0..count {
+        let Some((n, begin)) = number(at, b'$', STRING_MOST)? else { return Ok(None) };
+        let Some(part) = input.get(begin..begin + n + 2) else { return Ok(None) };
+        parts.push(&part[..n]);
+        at = begin + n + 2;
+    }
+    Ok(Some((parts, at)))
+}
+
+fn fetch(fields: &[u8]) -> Fetch {
+    let mut found = Fetch::default();
+    let text = String::from_utf8_lossy(fields);
+    for (name, value) in text.split(',').filter_map(|f| f.split_once('=')) {
+        match name {
+            "cls" => found.class = value.into(),
+            "item" => found.item = hex(value),
+            "from" => found.source = hex(value.trim_start_matches("s-")) as u32,
+            "oldest" => found.oldest = value.parse().unwrap_or(0),
+            "mode" => found.only_held = value.split('+').any(|word| word == "shallow"),
+            _ => {}
+        }
+    }
+    found
+}
+
+impl World<'_> {
+    fn run(mut self) {
+        for place in 0..self.nodes.len() {
+            self.watch(place);
+        }
+        let (mut events, mut next) = (Events::new(), self.nodes.len());
+        loop {
+            let left = self.due.peek().map(|due| due.0 .0.saturating_duration_since(Instant::now()));
+            events.clear();
+            if self.shared.poller.wait(&mut events, left).is_err() {
+                return;
+            }
+            if *self.shared.over.lock().expect("no holder panics") {
+                return;
+            }
+            self.moods();
+            while self.due.peek().is_some_and(|due| due.0 .0 <= Instant::now()) {
+                let Some(Reverse((_, _, key, txn, word))) = self.due.pop() else { break };
+                self.answer(key, txn, word);
+            }
+            for event in events.iter() {
+                if event.key < self.nodes.len() {
+                    self.accept(event.key, &mut next);
+                } else {
+                    self.ready(event.key, event.readable);
+                }
+            }
+        }
+    }
+
+    fn watch(&self, place: usize) {
+        let Some(listener) = &self.nodes[place].listener else { return };
+        listener.set_nonblocking(true).expect("a socket");
+        // SAFETY: the listener is taken out of the poller before it is dropped, in `moods`.
+        let added =
+            unsafe { self.shared.poller.add_with_mode(listener, Event::readable(place), PollMode::Level) };
+        added.expect("a socket");
+    }
+
+    /// Takes over what the test said.
+    fn moods(&mut self) {
+        let moods = self.shared.moods.lock().expect("no holder panics").clone();
+        for (place, mood) in moods.into_iter().enumerate() {
+            if self.nodes[place].mood == mood {
+                continue;
+            }
+            let before = std::mem::replace(&mut self.nodes[place].mood, mood);
+            let mine: Vec<_> = self.links.iter().filter(|(_, l)| l.place == place).map(|(k, _)| *k).collect();
+            if mood == Mood::Dead {
+                if let Some(listener) = self.nodes[place].listener.take() {
+                    let _ = self.shared.poller.delete(&listener);
+                }
+                // What comes back is a new process: it holds nothing.
+                self.nodes[place].copies.clear();
+                mine.into_iter().for_each(|key| self.drop(key, true));
+                continue;
+            }
+            if before == Mood::Dead {
+                let at = self.nodes[place].address;
+                let until = Instant::now() + crate::GUARD;
+                let listener = loop {
+                    match TcpListener::bind(at) {
+                        Ok(listener) => break listener,
+                        Err(e) => assert!(Instant::now() < until, "{at}: {e}"),
+                    }
+                };
+                self.nodes[place].listener = Some(listener);
+                self.watch(place);
+            }
+            let reads = mood != Mood::Frozen;
+            for key in mine {
+                self.rewatch(key, reads);
+            }
+        }
+    }
+
+    fn rewatch(&self, key: usize, reads: bool) {
+        if let Some(link) = self.links.get(&key) {
+            let event = Event::new(key, reads, !link.output.is_empty());
+            let _ = self.shared.poller.modify_with_mode(&link.socket, event, PollMode::Level);
+        }
+    }
+
+    fn drop(&mut self, key: usize, reset: bool) {
+        let Some(link) = self.links.remove(&key) else { return };
+        let _ = self.shared.poller.delete(&link.socket);
+        if reset {
+            let _ = socket2::SockRef::from(&link.socket).set_linger(Some(Duration::ZERO));
+        }
+        for txn in link.open {
+            self.history.note(Seen::Cut(self.nodes[link.place].id, txn));
+        }
+    }
+
+    fn accept(&mut self, place: usize, next: &mut usize) {
+        let accepted = self.nodes[place].listener.as_ref().and_then(|l| l.accept().ok());
+        let Some((socket, _)) = accepted else { return };
+        self.history.note(Seen::Dialled(self.nodes[place].id));
+        socket.set_nonblocking(true).expect("a socket");
+        *next += 1;
+        // SAFETY: the socket is taken out of the poller before it is dropped, in `drop`.
+        let added =
+            unsafe { self.shared.poller.add_with_mode(&socket, Event::readable(*next), PollMode::Level) };
+        added.expect("a socket");
+        let link = Link { place, socket, input: Vec::new(), output: Vec::new(), open: Vec::new() };
+        self.links.insert(*next, link);
+        if self.nodes[place].mood == Mood::Frozen {
+            self.rewatch(*next, false);
+        }
+    }
+
+    fn ready(&mut self, key: usize, readable: bool) {
+        self.flush(key);
+        let Some(link) = self.links.get_mut(&key).filter(|_| readable) else { return };
+        if self.nodes[link.place].mood == Mood::Frozen {
+            return;
+        }
+        let mut chunk = [0; 16 * 1024];
+        match link.socket.read(&mut chunk) {
+            Ok(n) if n > 0 => link.input.extend_from_slice(&chunk[..n]),
+            Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+            _ => return self.drop(key, false),
+        }
+        loop {
+            let Some(link) = self.links.get_mut(&key) else { return };
+            let input = std::mem::take(&mut link.input);
+            let found = command(&input).map(|found| {
+                found.map(|(parts, used)| (parts.iter().map(|p| p.to_vec()).collect::<Vec<_>>(), used))
+            });
+            match found {
+                Ok(Some((parts, used))) => {
+                    link.input = input[used..].to_vec();
+                    self.hear(key, &parts);
+                }
+                Ok(None) if input.len() <= INPUT_MOST => {
+                    link.input = input;
+                    return;
+                }
+                _ => return self.drop(key, true),
+            }
+        }
+    }
+
+    fn hear(&mut self, key: usize, parts: &[Vec<u8>]) {
+        let Some(link) = self.links.get_mut(&key) else { return };
+        let node = &mut self.nodes[link.place];
+        let text = |n: usize| parts.get(n).map(|p| String::from_utf8_lossy(p)).unwrap_or_default();
+        let txn = hex(&text(1));
+        if &*text(0) == "abort" {
+            self.history.note(Seen::Off(node.id, txn));
+            if node.mood != Mood::Stubborn {
+                link.open.retain(|open| *open != txn);
+            }
+            return;
+        }
+        let asked = fetch(parts.get(2).map_or(&[], |p| &p[..]));
+        let write = self.writes.contains(&asked.class);
+        self.history.note(Seen::Sent { node: node.id, txn, write, item: asked.item, source: asked.source });
+        link.open.push(txn);
+        let runs = !matches!(node.mood, Mood::Full | Mood::Dead);
+        if write && runs {
+            self.history.note(Seen::Ran(txn));
+        }
+        let mut soon = Instant::now();
+        let word = match node.mood {
+            Mood::Silent | Mood::Frozen | Mood::Dead => return,
+            Mood::Full => Some(Word::Full),
+            Mood::Faults => Some(Word::Fault),
+            Mood::Garbage => {
+                link.output.extend(b"+OK\r\n");
+                return self.flush(key);
+            }
+            Mood::Answers(takes) => {
+                soon += takes;
+                None
+            }
+            Mood::Torn | Mood::Stubborn => None,
+        };
+        let word = match word {
+            Some(word) => word,
+            None if write => Word::Hit(wall_ms()),
+            None => {
+                let now = wall_ms();
+                let does = |born: &u64| asked.oldest == 0 || now - *born <= asked.oldest;
+                let held = node.copies.get(&asked.item).copied().filter(does);
+                match held {
+                    Some(born) => Word::Hit(born),
+                    None if asked.only_held => Word::Miss,
+                    None => {
+                        node.copies.insert(asked.item, now);
+                        Word::Hit(now)
+                    }
+                }
+            }
+        };
+        self.last += 1;
+        self.due.push(Reverse((soon, self.last, key, txn, word)));
+    }
+
+    fn answer(&mut self, key: usize, txn: u64, word: Word) {
+        let Some(link) = self.links.get_mut(&key) else { return };
+        let node = &self.nodes[link.place];
+        let waits = link.open.iter().position(|open| *open == txn);
+        if let Some(place) = waits {
+            // Of half an answer the front makes nothing: the request stays open here.
+            if node.mood != Mood::Torn {
+                link.open.swap_remove(place);
+            }
+        } else if node.mood != Mood::Stubborn {
+            return;
+        }
+        let (name, fields, body, born) = match word {
+            Word::Hit(born) => ("HIT", format!("ver={born:x},born={born},tell=local"), "bytes", born),
+            Word::Miss => ("NONE", "tell=not_there".into(), "", 0),
+            Word::Full => ("SHED", "-".into(), "", 0),
+            Word::Fault => ("FAULT", "-".into(), "", 0),
+        };
+        let id = format!("{txn:016x}");
+        let parts = [id.as_str(), name, &fields, body].map(|p| format!("${}\r\n{p}\r\n", p.len()));
+        let whole = format!("*4\r\n{}", parts.concat());
+        if waits.is_some() && node.mood != Mood::Torn {
+            self.history.note(Seen::Done(node.id, txn, born));
+        }
+        match node.mood {
+            Mood::Torn => link.output.extend(&whole.as_bytes()[..whole.len() / 2]),
+            Mood::Stubborn => link.output.extend(whole.repeat(2).bytes()),
+            _ => link.output.extend(whole.bytes()),
+        }
+        self.flush(key);
+    }
+
+    fn flush(&mut self, key: usize) {
+        let Some(link) = self.links.get_mut(&key) else { return };
+        while !link.output.is_empty() {
+            match link.socket.write(&link.output) {
+                Ok(n) if n > 0 => drop(link.output.drain(..n)),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                _ => return self.drop(key, false),
+            }
+        }
+        let reads = self.nodes[link.place].mood != Mood::Frozen;
+        self.rewatch(key, reads);
+    }
+}
--- /dev/null
+++ b/rig/src/rules.rs
@@ -0,0 +1,413 @@
+//! Checkers of the service's rules over the whole fleet. They read one history, and what was told by the list service.
+use crate::event::{Event, State};
+use crate::history::Seen;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Duration;
+
+/// Times that a fleet is held to. Each has the test machine's slack in it.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// From being told that a node drains until nothing new goes there.
+    pub drain: Duration,
+    /// From being told of a purge until nothing is answered from an older copy.
+    pub purge: Duration,
+    /// From a request until its final answer.
+    pub answer: Duration,
+    /// For how long the end of one attempt may come after the begin of the next, on different connections.
+    pub overlap: Duration,
+}
+
+/// A rule that was broken.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Breach {
+    /// When.
+    pub at: Duration,
+    /// Which rule.
+    pub rule: &'static str,
+    /// Of which request.
+    pub txn: u64,
+    /// What was seen.
+    pub text: String,
+}
+
+#[derive(Default)]
+struct Request {
+    front: usize,
+    at: Duration,
+    answers: u32,
+    /// The client no longer waits, or the front could not answer.
+    excused: bool,
+    /// Attempts at nodes that have not ended.
+    out: Vec<u32>,
+    ran: u32,
+}
+
+/// What a front was told, with the moment since which it counts.
+#[derive(Default)]
+struct Front {
+    deaf: bool,
+    stopped: bool,
+    nodes: HashMap<u32, (State, Duration)>,
+    purges: HashMap<u64, (u64, Duration)>,
+}
+
+impl Front {
+    fn free(&mut self, now: Duration) {
+        // What was told meanwhile is heard from now on.
+        self.nodes.values_mut().for_each(|told| told.1 = now);
+        self.purges.values_mut().for_each(|told| told.1 = now);
+    }
+}
+
+/// All breaches of the rules; `event` gives what was told under a number.
+pub fn breaches<'a>(
+    history: &[(Duration, Seen)],
+    event: impl Fn(u64) -> Option<&'a Event>,
+    limits: &Limits,
+) -> Vec<Breach> {
+    let mut found = Vec::new();
+    let mut fronts: HashMap<usize, Front> = HashMap::new();
+    let mut requests: BTreeMap<u64, Request> = BTreeMap::new();
+    let mut open: BTreeSet<u64> = BTreeSet::new();
+    let mut veiled: BTreeSet<(u32, usize)> = BTreeSet::new();
+    // When each could be reached again: what was held comes then.
+    let mut cleared: HashMap<u32, Duration> = HashMap::new();
+    // Copies that must be newer: by request and node.
+    let mut newer: HashMap<(u64, u32), u64> = HashMap::new();
+    // Earlier attempts that are still out though another has begun, and since when.
+    let mut doubts: HashMap<(u64, u32), Duration> = HashMap::new();
+    for (now, seen) in history {
+        let now = *now;
+        let mut breach = |rule, txn, text| found.push(Breach { at: now, rule, txn, text });
+        match *seen {
+            Seen::Told(front, number) => {
+                let front = fronts.entry(front).or_default();
+                match event(number) {
+                    Some(Event::Nodes(_, listed)) => {
+                        for one in listed {
+                            let told = front.nodes.entry(one.id).or_insert((one.state, now));
+                            if told.0 != one.state {
+                                *told = (one.state, now);
+                            }
+                        }
+                    }
+                    Some(Event::Purge(item, at_ms)) => {
+                        front.purges.insert(*item, (*at_ms, now));
+                    }
+                    None => {}
+                }
+            }
+            Seen::Killed(front) | Seen::Stopped(front) => {
+                let killed = matches!(seen, Seen::Killed(_));
+                let told = fronts.entry(front).or_default();
+                if killed {
+                    *told = Front { deaf: told.deaf, ..Front::default() };
+                }
+                told.stopped = true;
+                for txn in &open {
+                    let request = requests.get_mut(txn).expect("it is open");
+                    request.excused |= request.front == front;
+                }
+            }
+            Seen::Going(front) | Seen::Hears(front) => {
+                let told = fronts.entry(front).or_default();
+                match seen {
+                    Seen::Going(_) => told.stopped = false,
+                    _ => told.deaf = false,
+                }
+                told.free(now);
+            }
+            Seen::Deaf(front) => fronts.entry(front).or_default().deaf = true,
+            Seen::Veiled(node, by) => drop(veiled.insert((node, by))),
+            Seen::Clear(node, by) => {
+                if veiled.remove(&(node, by)) {
+                    cleared.insert(node, now);
+                }
+                // What could not be made known in time is nobody's fault.
+                doubts.retain(|(_, at), _| *at != node);
+            }
+            Seen::Asked { front, txn } => {
+                let excused = fronts.get(&front).is_some_and(|f| f.stopped);
+                requests.insert(txn, Request { front, at: now, excused, ..Request::default() });
+                open.insert(txn);
+            }
+            Seen::Answered(front, txn, _) => {
+                let Some(request) = requests.get_mut(&txn) else {
+                    breach("answer", txn, format!("front {front} answered {txn:x}, which nobody asked"));
+                    continue;
+                };
+                request.answers += 1;
+                open.remove(&txn);
+                if request.answers > 1 {
+                    breach(
+                        "answer",
+                        txn,
+                        format!("front {front} answered {txn:x} {} times", request.answers),
+                    );
+                } else if now > request.at + limits.answer && !request.excused {
+                    let took = now - request.at;
+                    breach("answer", txn, format!("front {front} answered {txn:x} after {took:?}"));
+                }
+            }
+            Seen::Lost(_, txn) => {
+                open.remove(&txn);
+                let Some(request) = requests.get_mut(&txn) else { continue };
+                if !request.excused {
+                    let took = now - request.at;
+                    breach(
+                        "answer",
+                        txn,
+                        format!("front {} left {txn:x} unanswered for {took:?}", request.front),
+                    );
+                }
+            }
+            Seen::Sent { node, txn, item, source, .. } => {
+                let Some(request) = requests.get_mut(&txn) else {
+                    breach("asked", txn, format!("{node:x} was sent {txn:x}, which nobody asked"));
+                    continue;
+                };
+                for other in &request.out {
+                    doubts.entry((txn, *other)).or_insert(now);
+                }
+                request.out.push(node);
+                let held = veiled.iter().any(|(at, _)| *at == node)
+                    || cleared.get(&node).is_some_and(|at| now < *at + limits.overlap);
+                let free = |front: &&Front| !front.deaf && !front.stopped && !held;
+                let Some(front) = fronts.get(&request.front).filter(free) else { continue };
+                for at in [node, source] {
+                    if let Some((State::Draining | State::Gone, since)) = front.nodes.get(&at) {
+                        if now > *since + limits.drain {
+                            let (late, by) = (now - *since, request.front);
+                            let how = if at == node { "sent" } else { "named as source for" };
+                            breach(
+                                "drain",
+                                txn,
+                                format!("front {by}: {at:x} was {how} {txn:x} {late:?} after"),
+                            );
+                        }
+                    }
+                }
+                if let Some((at_ms, since)) = front.purges.get(&item) {
+                    if now > *since + limits.purge {
+                        newer.insert((txn, node), *at_ms);
+                    }
+                }
+            }
+            Seen::Ran(txn) => {
+                let request = requests.entry(txn).or_default();
+                request.ran += 1;
+                if request.ran > 1 {
+                    breach(
+                        "twice",
+                        txn,
+                        format!("front {}: {txn:x} ran {} times", request.front, request.ran),
+                    );
+                }
+            }
+            Seen::Off(node, txn) | Seen::Cut(node, txn) | Seen::Done(node, txn, _) => {
+                if let Some(request) = requests.get_mut(&txn) {
+                    if let Some(place) = request.out.iter().position(|at| *at == node) {
+                        request.out.swap_remove(place);
+                    }
+                    let front = request.front;
+                    let hindered = fronts.get(&front).is_some_and(|f| f.stopped)
+                        || veiled.iter().any(|(at, _)| *at == node);
+                    if let Some(since) = doubts.remove(&(txn, node)) {
+                        if now > since + limits.overlap && !hindered {
+                            let most = now - since;
+                            breach(
+                                "overlap",
+                                txn,
+                                format!("front {front}: {txn:x} was out twice for {most:?}"),
+                            );
+                        }
+                    }
+                }
+                if let (Seen::Done(_, _, born), Some(at_ms)) = (*seen, newer.remove(&(txn, node))) {
+                    if born > 0 && born < at_ms {
+                        let age = at_ms - born;
+                        breach(
+                            "purge",
+                            txn,
+                            format!("{node:x} answered {txn:x} {age} ms older than the purge"),
+                        );
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+    let end = history.last().map_or(Duration::ZERO, |last| last.0);
+    for ((txn, node), since) in doubts {
+        if end > since + limits.overlap && veiled.iter().all(|(at, _)| *at != node) {
+            let text = format!("{txn:x} was still out at {node:x} when another had begun");
+            found.push(Breach { at: since, rule: "overlap", txn, text });
+        }
+    }
+    for txn in open {
+        let request = &requests[&txn];
+        if end > request.at + limits.answer && !request.excused {
+            let text = format!("front {} never answered {txn:x}", request.front);
+            found.push(Breach { at: request.at, rule: "answer", txn, text });
+        }
+    }
+    found.sort_by_key(|breach| breach.at);
+    found
+}
+
+/// What was seen of the request of a breach, and of faults from a second before it on, for who reads why.
+pub fn around(history: &[(Duration, Seen)], breach: &Breach) -> String {
+    let (from, to) =
+        (breach.at.saturating_sub(Duration::from_secs(1)), breach.at + Duration::from_millis(100));
+    let front = history.iter().find_map(|(_, seen)| match *seen {
+        Seen::Asked { front, txn } if txn == breach.txn => Some(front),
+        _ => None,
+    });
+    let of_it = |seen: &Seen| match *seen {
+        Seen::Told(to, _) => (Some(to) != front).then_some(false),
+        Seen::Sent { txn, .. } | Seen::Asked { txn, .. } => Some(txn == breach.txn),
+        Seen::Ran(txn) | Seen::Off(_, txn) | Seen::Cut(_, txn) | Seen::Done(_, txn, _) => {
+            Some(txn == breach.txn)
+        }
+        Seen::Answered(_, txn, _) | Seen::Lost(_, txn) => Some(txn == breach.txn),
+        Seen::Call | Seen::Served(_) | Seen::Left | Seen::Dialled(_) => Some(false),
+        _ => None,
+    };
+    let shown = history.iter().filter(|(at, seen)| of_it(seen).unwrap_or_else(|| (from..to).contains(at)));
+    shown.map(|(at, seen)| format!("{at:?} {seen:?}\n")).collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::event::Listed;
+
+    const LIMITS: Limits = Limits {
+        drain: Duration::from_millis(500),
+        purge: Duration::from_millis(500),
+        answer: Duration::from_millis(1_000),
+        overlap: Duration::from_millis(50),
+    };
+
+    fn drains() -> Event {
+        let (state, started_ms) = (State::Draining, 0);
+        Event::Nodes(false, vec![Listed { place: 0, id: 7, state, zone: 1, kind: 0, weight: 8, started_ms }])
+    }
+
+    fn found(script: &[(u64, Seen)]) -> Vec<&'static str> {
+        let history: Vec<_> = script.iter().map(|(ms, seen)| (Duration::from_millis(*ms), *seen)).collect();
+        let events = [drains(), Event::Purge(3, 1_000)];
+        let all = breaches(&history, |number| events.get(number as usize), &LIMITS);
+        all.iter().map(|breach| breach.rule).collect()
+    }
+
+    fn sent(node: u32, txn: u64, source: u32) -> Seen {
+        Seen::Sent { node, txn, write: false, item: 3, source }
+    }
+
+    const ASKED: Seen = Seen::Asked { front: 0, txn: 1 };
+    const ANSWERED: Seen = Seen::Answered(0, 1, 1);
+
+    #[test]
+    fn each_rule_is_seen_broken_and_seen_kept() {
+        let kept: [&[(u64, Seen)]; 8] = [
+            &[(0, ASKED), (1, sent(7, 1, 0)), (2, Seen::Done(7, 1, 5)), (3, ANSWERED), (4_000, Seen::Mark)],
+            // A front that was killed answers nothing, one that was stopped answers late.
+            &[(0, ASKED), (9, Seen::Killed(0)), (9, Seen::Lost(0, 1)), (4_000, Seen::Mark)],
+            &[(0, ASKED), (9, Seen::Stopped(0)), (3_000, Seen::Going(0)), (3_001, ANSWERED)],
+            // Told and heeded; told to one that does not hear.
+            &[
+                (0, Seen::Told(0, 0)),
+                (400, ASKED),
+                (499, sent(7, 1, 0)),
+                (500, Seen::Done(7, 1, 5)),
+                (501, ANSWERED),
+            ],
+            &[
+                (0, Seen::Deaf(0)),
+                (0, Seen::Told(0, 0)),
+                (900, ASKED),
+                (999, sent(7, 1, 0)),
+                (1_000, ANSWERED),
+            ],
+            // A restart knows nothing of what was told before.
+            &[
+                (0, Seen::Told(0, 0)),
+                (9, Seen::Killed(0)),
+                (900, ASKED),
+                (999, sent(7, 1, 0)),
+                (1_000, ANSWERED),
+            ],
+            // Given up and sent again, which is seen a little later; or never, where the node reads nothing.
+            &[(0, ASKED), (1, sent(7, 1, 0)), (5, sent(8, 1, 0)), (30, Seen::Off(7, 1)), (31, ANSWERED)],
+            &[
+                (0, ASKED),
+                (1, Seen::Veiled(7, 0)),
+                (1, sent(7, 1, 0)),
+                (5, sent(8, 1, 0)),
+                (31, ANSWERED),
+                (3_000, Seen::Clear(7, 0)),
+                (3_001, Seen::Off(7, 1)),
+            ],
+        ];
+        for script in kept {
+            assert!(found(script).is_empty(), "{script:?}");
+        }
+        let broken: [(&str, &[(u64, Seen)]); 12] = [
+            ("answer", &[(0, ASKED), (4_000, Seen::Mark)]),
+            ("answer", &[(0, ASKED), (1_001, ANSWERED)]),
+            ("answer", &[(0, ASKED), (10, ANSWERED), (11, ANSWERED)]),
+            ("answer", &[(0, ANSWERED)]),
+            ("answer", &[(0, ASKED), (1_200, Seen::Lost(0, 1))]),
+            ("asked", &[(0, sent(7, 1, 0))]),
+            ("twice", &[(0, ASKED), (1, Seen::Ran(1)), (2, Seen::Ran(1)), (3, ANSWERED)]),
+            (
+                "overlap",
+                &[(0, ASKED), (1, sent(7, 1, 0)), (5, sent(8, 1, 0)), (90, Seen::Off(7, 1)), (91, ANSWERED)],
+            ),
+            (
+                "overlap",
+                &[(0, ASKED), (1, sent(7, 1, 0)), (5, sent(8, 1, 0)), (6, ANSWERED), (900, Seen::Mark)],
+            ),
+            ("drain", &[(0, Seen::Told(0, 0)), (400, ASKED), (501, sent(7, 1, 0)), (502, ANSWERED)]),
+            ("drain", &[(0, Seen::Told(0, 0)), (400, ASKED), (501, sent(8, 1, 7)), (502, ANSWERED)]),
+            (
+                "purge",
+                &[
+                    (0, Seen::Told(0, 1)),
+                    (501, ASKED),
+                    (502, sent(8, 1, 0)),
+                    (503, Seen::Done(8, 1, 999)),
+                    (504, ANSWERED),
+                ],
+            ),
+        ];
+        for (rule, script) in broken {
+            assert_eq!(found(script), [rule], "{script:?}");
+        }
+        // One that hears again is held to it from then on.
+        let late = [
+            (0, Seen::Deaf(0)),
+            (0, Seen::Told(0, 0)),
+            (900, Seen::Hears(0)),
+            (1_390, ASKED),
+            (1_399, sent(7, 1, 0)),
+            (1_401, sent(7, 1, 0)),
+            (1_402, ANSWERED),
+        ];
+        assert_eq!(found(&late), ["drain"]);
+        // What a link held comes once it heals; what comes later than that was written later.
+        let script = |at| {
+            [
+                (0, Seen::Told(0, 0)),
+                (1, Seen::Veiled(7, 0)),
+                (400, ASKED),
+                (800, Seen::Clear(7, 0)),
+                (at, sent(7, 1, 0)),
+                (at, Seen::Done(7, 1, 5)),
+                (at, ANSWERED),
+            ]
+        };
+        assert_eq!((found(&script(801)), found(&script(851))), (vec![], vec!["drain"]));
+    }
+}
--- /dev/null
+++ b/rig/src/script.rs
@@ -0,0 +1,183 @@
+//! Faults from a seed. A script says what fails and what comes back, in order; the next step is taken once so many more requests
+//! were answered, so that a slow machine takes longer and sees the same.
+use crate::event::State;
+use crate::history::Seen;
+use crate::link::Way;
+use crate::list::Mode;
+use crate::nodes::Mood;
+use crate::stage::{Shape, Stage};
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// One step of a script.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Fault {
+    /// Fronts are killed outright, or started anew.
+    Kill(Vec<usize>),
+    /// They are started anew.
+    Restart(Vec<usize>),
+    /// Fronts are stopped.
+    Stop(Vec<usize>),
+    /// They go on.
+    Go(Vec<usize>),
+    /// A front and the list service: what passes there and back; `None`: all.
+    Feed(usize, Option<(Way, Way)>),
+    /// A side of the fleet and a node.
+    Link(usize, usize, Option<(Way, Way)>),
+    /// The connections of a side to a node are reset.
+    Reset(usize, usize),
+    /// What a node does.
+    Node(usize, Mood),
+    /// What the list service says of a node.
+    Listed(usize, State),
+    /// An object is purged.
+    Purge(u64),
+    /// What the list service does.
+    Service(Mode),
+}
+
+/// Faults, one after another.
+#[derive(Clone, Debug)]
+pub struct Script {
+    /// From which it was made.
+    pub seed: u64,
+    /// The steps.
+    pub steps: Vec<Fault>,
+    /// Answers to be seen between two steps.
+    pub answers: usize,
+}
+
+struct Dice(u64);
+
+impl Dice {
+    fn below(&mut self, n: usize) -> usize {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut z = self.0;
+        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        ((z ^ (z >> 31)) % n.max(1) as u64) as usize
+    }
+}
+
+impl Script {
+    /// So many steps. Half of the fronts and one cache at least stay untouched, so that there is service to be seen.
+    pub fn from_seed(seed: u64, shape: Shape, count: usize) -> Self {
+        let mut dice = Dice(seed);
+        let (mut down, mut stopped) = (BTreeSet::new(), BTreeSet::new());
+        // Front 0 and cache 0 are never touched.
+        let front = |dice: &mut Dice| 1 + dice.below(shape.fronts - 1);
+        let place = |dice: &mut Dice| 1 + dice.below(shape.caches + shape.parents - 1);
+        let ways = |dice: &mut Dice| {
+            let one = |dice: &mut Dice| match dice.below(4) {
+                0 => Way::Pass,
+                1 => Way::Late(Duration::from_millis(50 + dice.below(300) as u64)),
+                2 => Way::Slow(200 + dice.below(2_000) as u64),
+                _ => Way::Cut,
+            };
+            [None, Some((one(dice), one(dice)))][dice.below(3).min(1)]
+        };
+        let mut steps = Vec::new();
+        while steps.len() < count {
+            let most = shape.fronts / 2;
+            steps.push(match dice.below(12) {
+                0 | 1 if down.len() + stopped.len() < most => {
+                    let some: BTreeSet<_> = (0..1 + dice.below(most)).map(|_| front(&mut dice)).collect();
+                    let room = most - down.len() - stopped.len();
+                    let free = some.into_iter().filter(|f| !down.contains(f) && !stopped.contains(f));
+                    let some: Vec<usize> = free.take(room).collect();
+                    down.extend(&some);
+                    Fault::Kill(some)
+                }
+                2 | 3 if !down.is_empty() => Fault::Restart(std::mem::take(&mut down).into_iter().collect()),
+                4 if stopped.is_empty() && down.len() < most => {
+                    let one = front(&mut dice);
+                    if down.contains(&one) {
+                        continue;
+                    }
+                    stopped.insert(one);
+                    Fault::Stop(vec![one])
+                }
+                5 if !stopped.is_empty() => Fault::Go(std::mem::take(&mut stopped).into_iter().collect()),
+                6 => Fault::Feed(front(&mut dice), ways(&mut dice)),
+                7 => Fault::Link(dice.below(shape.sides), place(&mut dice), ways(&mut dice)),
+                8 => Fault::Reset(dice.below(shape.sides), place(&mut dice)),
+                9 => {
+                    let moods = [
+                        Mood::Answers(Duration::from_millis(1)),
+                        Mood::Answers(Duration::from_millis(80)),
+                        Mood::Silent,
+                        Mood::Frozen,
+                        Mood::Full,
+                        Mood::Faults,
+                        Mood::Garbage,
+                        Mood::Torn,
+                        Mood::Stubborn,
+                        Mood::Dead,
+                    ];
+                    Fault::Node(place(&mut dice), moods[dice.below(moods.len())])
+                }
+                10 => {
+                    let states = [State::Draining, State::Ready];
+                    Fault::Listed(place(&mut dice), states[dice.below(2)])
+                }
+                11 => match dice.below(4) {
+                    0 => {
+                        Fault::Service([Mode::Serves, Mode::Closes, Mode::Silent, Mode::Torn][dice.below(4)])
+                    }
+                    _ => Fault::Purge(dice.below(50) as u64),
+                },
+                _ => continue,
+            });
+        }
+        // All heals.
+        steps.push(Fault::Service(Mode::Serves));
+        steps.push(Fault::Restart(down.into_iter().collect()));
+        steps.push(Fault::Go(stopped.into_iter().collect()));
+        steps.extend((1..shape.fronts).map(|front| Fault::Feed(front, None)));
+        for place in 1..shape.caches + shape.parents {
+            steps.push(Fault::Node(place, Mood::Answers(Duration::from_millis(1))));
+            steps.push(Fault::Listed(place, State::Ready));
+            steps.extend((0..shape.sides).map(|side| Fault::Link(side, place, None)));
+        }
+        Script { seed, steps, answers: 2 * shape.fronts }
+    }
+}
+
+impl Stage {
+    /// Takes one step.
+    pub fn take(&mut self, fault: &Fault) {
+        match fault {
+            Fault::Kill(which) => self.kill(which),
+            Fault::Restart(which) => self.restart(which),
+            Fault::Stop(which) => self.stop(which, true),
+            Fault::Go(which) => self.stop(which, false),
+            Fault::Feed(front, ways) => self.feed(*front, *ways),
+            Fault::Link(side, place, ways) => self.link(*side, *place, *ways),
+            Fault::Reset(side, place) => self.reset(*side, *place),
+            Fault::Node(place, mood) => self.nodes.set(*place, *mood),
+            Fault::Listed(place, state) => drop(self.list(*place, *state)),
+            Fault::Purge(item) => drop(self.purge(*item)),
+            Fault::Service(mode) => self.list.set(*mode),
+        }
+    }
+
+    /// Plays a script to its end: all has healed, and each front has served again.
+    pub fn play(&mut self, script: &Script) {
+        let answered = |seen: &Seen| matches!(seen, Seen::Answered(..));
+        for (place, step) in script.steps.iter().enumerate() {
+            let before = self.history.count(answered);
+            self.take(step);
+            if place + self.places() * 4 + self.shape().fronts < script.steps.len() {
+                let what = format!("seed {}: answers after {step:?}", script.seed);
+                self.history.until(&what, before + script.answers, answered);
+            }
+        }
+        let healed = self.history.now();
+        for front in 0..self.shape().fronts {
+            let again = |seen: &Seen| matches!(seen, Seen::Answered(by, _, 1) if *by == front);
+            let before = self.history.moments(again).iter().filter(|at| **at <= healed).count();
+            let what = format!("seed {}: front {front} serves again", script.seed);
+            self.history.until(&what, before + 1, again);
+        }
+    }
+}
--- /dev/null
+++ b/rig/src/stage.rs
@@ -0,0 +1,236 @@
+//! A whole service under a test's hand: fronts, the list service, nodes behind links, clients, one history.
+use crate::clients::{Addresses, Asks, Clients};
+use crate::event::{Event, Listed, State};
+use crate::fleet::Fleet;
+use crate::history::{History, Seen};
+use crate::link::{Link, Way};
+use crate::list::{ListService, Mode, FIRST};
+use crate::nodes::Nodes;
+use crate::rules::{around, breaches, Breach, Limits};
+use serde_json::{json, Value};
+use std::path::Path;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// How large a service is.
+#[derive(Clone, Copy, Debug)]
+pub struct Shape {
+    /// Processes of the program.
+    pub fronts: usize,
+    /// Cache nodes, parents; there is one origin besides.
+    pub caches: usize,
+    /// Parents.
+    pub parents: usize,
+    /// Parts of the fleet that reach the nodes by links of their own; a front is of the part of its number.
+    pub sides: usize,
+}
+
+/// What runs. Nodes go by their place: caches, then parents, then the origin.
+pub struct Stage {
+    /// What was seen.
+    pub history: History,
+    /// The list service.
+    pub list: ListService,
+    /// Cache nodes, parents, the origin.
+    pub nodes: Nodes,
+    /// The processes.
+    pub fleet: Fleet,
+    /// From each front to the list service.
+    pub feeds: Vec<Link>,
+    /// By side and node.
+    links: Vec<Vec<Link>>,
+    shape: Shape,
+    listed: Vec<Listed>,
+    addresses: Addresses,
+    limits: Limits,
+    asks: Asks,
+}
+
+impl Stage {
+    /// Starts all of it. `base` is a configuration whose settings have the classes that are asked, an edge at zone 1, a hub at
+    /// zone 0 and the kinds cache, parent, origin in this order; `settings` are the daemon's own.
+    pub fn start(binary: &Path, shape: Shape, base: &Value, settings: Option<&Value>, seed: u64) -> Self {
+        let history = History::default();
+        let info = &base["settings"]["familyInfo"];
+        let classes = base["settings"]["classes"].as_array().expect("classes");
+        let write = |i: usize| info["classWrite"][i].as_bool().unwrap_or(false);
+        let name = |i: usize| classes[i]["name"].as_str().expect("a name").to_string();
+        let writes: Vec<_> = (0..classes.len()).filter(|i| write(*i)).collect();
+        let reads: Vec<_> = (0..classes.len()).filter(|i| !write(*i)).collect();
+        let (read, one) = (*reads.last().expect("a class"), *writes.first().expect("a class"));
+        let limit = |i: usize| Duration::from_micros(classes[i]["deadline"].as_u64().expect("a time"));
+        let micros = |v: &Value| Duration::from_micros(v.as_u64().expect("a time"));
+        let limits = Limits {
+            // A machine whose cores are all busy is late by this.
+            drain: micros(&base["settings"]["rules"]["drainGrace"]) + SLACK,
+            purge: micros(&info["purgeGrace"]) + SLACK,
+            answer: limit(read).min(limit(one)) + SLACK,
+            overlap: SLACK,
+        };
+        let count = shape.caches + shape.parents + 1;
+        let ids: Vec<_> = (0..count).map(|place| 0x101 + place as u32).collect();
+        let names: Vec<_> = writes.iter().map(|i| name(*i)).collect();
+        let names: Vec<_> = names.iter().map(String::as_str).collect();
+        let nodes = Nodes::new(&history, &ids, &names);
+        let links: Vec<Vec<_>> = (0..shape.sides.max(1))
+            .map(|_| nodes.all.iter().map(|(_, at)| Link::new(*at)).collect())
+            .collect();
+        let listed: Vec<_> = (0..count)
+            .map(|place| {
+                let (zone, kind, weight) = match place {
+                    _ if place < shape.caches => (1, 0, 8),
+                    _ if place < count - 1 => (0, 1, 24),
+                    _ => (0, 2, 1),
+                };
+                Listed { place, id: ids[place], state: State::Ready, zone, kind, weight, started_ms: 0 }
+            })
+            .collect();
+        let reach =
+            |front: usize| -> Vec<_> { links[front % links.len()].iter().map(|l| l.address).collect() };
+        let list = ListService::with_doors(&history, Mode::Serves, (0..shape.fronts).map(reach).collect());
+        let feeds: Vec<_> = list.doors.iter().map(|door| Link::new(*door)).collect();
+        let names = |key: &str, i: u8| base["settings"][key][usize::from(i)].clone();
+        let fleet = Fleet::start(binary, shape.fronts, settings, |front| {
+            let mut config = base.clone();
+            config["name"] = format!("n{front}").into();
+            config["listen"] = "127.0.0.1:0".into();
+            config["feed"] = feeds[front].address.to_string().into();
+            config["seed"] = format!("{:x}", seed.wrapping_mul(1_000_003) + front as u64).into();
+            config["settings"]["nInstances"] = shape.fronts.into();
+            config["settings"]["index"] = front.into();
+            let member = |one: &Listed| {
+                json!({"instanceId": format!("s-{:08x}", one.id), "hostPort": reach(front)[one.place].to_string(),
+                       "zone": names("zones", one.zone), "machineType": names("kinds", one.kind), "cell": 0,
+                       "lifecycle": "in_service", "weight": one.weight, "startedAtMs": 0})
+            };
+            let all: Vec<_> = listed.iter().map(member).collect();
+            let members = json!({"generation": 1, "reset": true, "instances": all});
+            config["known"] = json!({"n": FIRST - 1, "events": [{"n": FIRST - 1, "members": members}]});
+            config
+        });
+        let addresses = Arc::new(Mutex::new((0..shape.fronts).map(|n| Some(fleet.address(n))).collect()));
+        let pause = Duration::from_millis(20);
+        let limit = limit(read).min(limit(one));
+        let asks = Asks { read: name(read), write: name(one), objects: 50, pause, limit };
+        Stage { history, list, nodes, fleet, feeds, links, shape, listed, addresses, limits, asks }
+    }
+
+    /// Clients begin to ask all fronts.
+    pub fn clients(&self, seed: u64) -> Clients {
+        Clients::begin(&self.history, &self.addresses, &self.asks, seed)
+    }
+
+    /// Kills fronts outright.
+    pub fn kill(&mut self, which: &[usize]) {
+        for front in which {
+            self.history.note(Seen::Killed(*front));
+            self.addresses.lock().expect("no holder panics")[*front] = None;
+        }
+        self.fleet.kill(which.iter().copied());
+    }
+
+    /// Starts fronts anew that were killed.
+    pub fn restart(&mut self, which: &[usize]) {
+        self.fleet.restart(which.iter().copied());
+        for front in which {
+            let at = self.fleet.address(*front);
+            self.history.note(Seen::Going(*front));
+            self.addresses.lock().expect("no holder panics")[*front] = Some(at);
+        }
+    }
+
+    /// Stops fronts, or lets them go on.
+    pub fn stop(&self, which: &[usize], on: bool) {
+        let signal = if on { libc::SIGSTOP } else { libc::SIGCONT };
+        if on {
+            which.iter().for_each(|front| self.history.note(Seen::Stopped(*front)));
+        }
+        self.fleet.signal(which.iter().copied(), signal);
+        if !on {
+            which.iter().for_each(|front| self.history.note(Seen::Going(*front)));
+        }
+    }
+
+    /// The link between a front and the list service does this; `None`: it heals.
+    pub fn feed(&self, front: usize, ways: Option<(Way, Way)>) {
+        match ways {
+            Some((there, back)) => {
+                self.history.note(Seen::Deaf(front));
+                self.feeds[front].set(there, back);
+            }
+            None => {
+                self.feeds[front].heal();
+                self.history.note(Seen::Hears(front));
+            }
+        }
+    }
+
+    /// The link between one side of the fleet and a node does this; `None`: it heals.
+    pub fn link(&self, side: usize, place: usize, ways: Option<(Way, Way)>) {
+        let id = self.listed[place].id;
+        match ways {
+            Some((there, back)) => {
+                self.history.note(Seen::Veiled(id, side + 1));
+                self.links[side][place].set(there, back);
+            }
+            None => {
+                self.links[side][place].heal();
+                self.history.note(Seen::Clear(id, side + 1));
+            }
+        }
+    }
+
+    /// Resets the connections of one side of the fleet to a node.
+    pub fn reset(&self, side: usize, place: usize) {
+        self.links[side][place].reset();
+    }
+
+    /// The list service tells that a node is in another state.
+    pub fn list(&mut self, place: usize, state: State) -> u64 {
+        self.listed[place].state = state;
+        self.list.tell(Event::Nodes(false, vec![self.listed[place]]))
+    }
+
+    /// The list service tells that an object is purged now.
+    pub fn purge(&self, item: u64) -> u64 {
+        self.list.tell(Event::Purge(item, crate::nodes::wall_ms()))
+    }
+
+    /// How many nodes there are.
+    pub fn places(&self) -> usize {
+        self.listed.len()
+    }
+
+    /// Its shape.
+    pub fn shape(&self) -> Shape {
+        self.shape
+    }
+
+    /// Waits until so many more requests were answered with success.
+    pub fn served(&self, what: &str, more: usize) {
+        let served = |seen: &Seen| matches!(seen, Seen::Answered(_, _, 1));
+        let before = self.history.count(served);
+        self.history.until(what, before + more, served);
+    }
+
+    /// Breaches of the service's rules in all that was seen.
+    pub fn breaches(&self) -> Vec<Breach> {
+        let events = self.list.events();
+        breaches(&self.history.all(), |number| events.get(number.checked_sub(FIRST)? as usize), &self.limits)
+    }
+
+    /// No rule was broken and no process has ended by itself, or the history round the first breach is shown.
+    pub fn keeps_the_rules(&mut self, seed: u64) {
+        let found = self.breaches();
+        if let Some(first) = found.first() {
+            let list = found.iter().take(20).map(|b| format!("{:?} {}: {}\n", b.at, b.rule, b.text));
+            let (list, round) = (list.collect::<String>(), around(&self.history.all(), first));
+            panic!("seed {seed}: {} breaches\n{list}\nthe first:\n{round}", found.len());
+        }
+        let dead = self.fleet.dead();
+        assert!(dead.is_empty(), "seed {seed}: {dead:#?}");
+    }
+}
+
+/// What a test machine with busy cores may be late by.
+const SLACK: Duration = Duration::from_millis(400);
