Take new members into use along a ramp of the whole fleet, and say ready by knowledge

Need: fronts that start, or learn of a node, at one moment all begin connections to it at once.

Change: startup::Ramp, a budget of first connections a second at one node over the whole fleet. A front's wait for a member follows from its number by a step that reaches each place once, so the fleet comes evenly and each front in an order of its own; two members of each kind, near ones by themselves, are used at once, the origin always, and what drains or goes is told at once. A member that waits is not known to the decisions yet. startup::Ready: yes once so many in a hundred are reached, with what there is after a bound, never without a list, strewn over the fleet by setting. Both are in the settings' section startup (deploy/fleet.json) and off without; a process that takes another's place skips them. cranesill ctl startup shows what it waits for and the calls on the list service.

Way not taken: dials queued by a budget while the decisions know all members: a request placed there waits for its turn or fails, and the decisions take that for the member's fault.

The stand-in nodes drop what was purged once the protocol's time is over, as a story showed that they have to.

--- a/daemon/src/types.rs
+++ b/daemon/src/types.rs
@@ -44,11 +44,37 @@
     /// For so long after the last word of the service it is called twice a second: what was missed can still be heeded.
     #[schemars(range(min = 0, max = 60_000))]
     pub haste_ms: u64,
+    /// So many of all fronts together begin to use a member in a second that is new to them; absent: all at once, and
+    /// connections are begun when something is first asked.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    #[schemars(with = "u32", range(min = 1, max = 100_000))]
+    pub handshakes_per_s: Option<u32>,
+    /// By then all fronts use a new member, whatever the budget.
+    #[schemars(range(min = 0, max = 600_000))]
+    pub ramp_most_ms: u64,
+    /// A front says that it is ready once so many in a hundred of the members have a connection that is up.
+    #[schemars(range(min = 0, max = 100))]
+    pub ready_percent: u32,
+    /// So long after its start it says so with fewer, if it has a list.
+    #[schemars(range(min = 0, max = 600_000))]
+    pub ready_most_ms: u64,
+    /// The yes of a whole fleet is spread over this.
+    #[schemars(range(min = 0, max = 600_000))]
+    pub ready_spread_ms: u64,
 }
 
 impl Default for Startup {
     fn default() -> Self {
-        Startup { calls_per_s: 10, wait_most_ms: 5_500, haste_ms: 0 }
+        Startup {
+            calls_per_s: 10,
+            wait_most_ms: 5_500,
+            haste_ms: 0,
+            handshakes_per_s: None,
+            ramp_most_ms: 20_000,
+            ready_percent: 0,
+            ready_most_ms: 3_000,
+            ready_spread_ms: 0,
+        }
     }
 }
 
--- a/front/src/program/clients.rs
+++ b/front/src/program/clients.rs
@@ -70,6 +70,8 @@
     all: HashMap<usize, Client>,
     /// No new requests are wanted.
     leaving: bool,
+    /// Who asks whether the front is ready is told yes, unless it leaves.
+    pub ready: bool,
     /// Connections are closed as soon as they carry nothing.
     empties: bool,
     held: usize,
@@ -175,7 +177,7 @@
                 continue;
             }
             client.moved = now;
-            client.hear(now, key, !self.leaving, &mut heard);
+            client.hear(now, key, self.ready && !self.leaving, &mut heard);
             self.flush(now, key);
         }
         heard
--- a/front/src/program/feed.rs
+++ b/front/src/program/feed.rs
@@ -27,13 +27,15 @@
     lost: Option<(Time, bool)>,
     /// When it is given up if nothing more is heard, or tried again.
     pub due: Time,
+    /// Calls that were made.
+    pub called: u64,
 }
 
 impl Feed {
     /// Is not connected yet: that is due soon.
     pub fn new(now: Time, address: SocketAddr, last: u64, mut calls: Calls) -> Self {
         let (scratch, due) = (vec![0; READ_MOST], calls.first(now));
-        Feed { address, last, scratch, stream: None, up: false, calls, lost: None, due }
+        Feed { address, last, scratch, stream: None, up: false, calls, lost: None, due, called: 0 }
     }
 
     /// Since when the service was not heard of, if it is not now; and the last event that is held.
@@ -60,6 +62,7 @@
             }
         }
         self.due = self.calls.begin(now);
+        self.called += 1;
         match dial(self.address).and_then(|s| Stream::new(reactor, s, key, true)) {
             Ok(stream) => (self.stream, self.up) = (Some((key, stream)), false),
             Err(_) => return self.end(now, End::Refused),
--- a/front/src/program/members.rs
+++ b/front/src/program/members.rs
@@ -178,6 +178,31 @@
         self.links.values_mut().filter(|l| !listed.contains(&l.member)).for_each(|l| l.retired = true);
     }
 
+    /// Begins a connection to a member that has none, before anything is asked there. Whether it was begun.
+    pub fn open(&mut self, now: Time, reactor: &Reactor, key: usize, to: MemberId) -> bool {
+        let keys = self.of.entry(to).or_default();
+        let has = keys.iter().any(|key| self.links.get(key).is_some_and(|link| !link.retired));
+        let address =
+            self.listed.get(&to).map(|l| l.0).filter(|_| !has && self.links.len() < self.links_most);
+        // What can't be begun now is begun once something is asked there.
+        let stream =
+            address.and_then(|at| dial(at).and_then(|socket| Stream::new(reactor, socket, key, true)).ok());
+        let begun = stream.map(|stream| {
+            self.links.insert(key, Link::new(now, to, stream));
+            keys.push(key);
+        });
+        begun.is_some()
+    }
+
+    /// How many of the members that are listed have a connection that is up.
+    pub fn reached(&self) -> usize {
+        let up = |key: &usize| self.links.get(key).is_some_and(|link| link.up && !link.retired);
+        self.of
+            .iter()
+            .filter(|(member, keys)| self.listed.contains_key(member) && keys.iter().any(up))
+            .count()
+    }
+
     /// Puts an attempt on a connection; `key` is for a new one. Returns the key if a connection was begun.
     pub fn send(
         &mut self,
--- a/front/src/program/mod.rs
+++ b/front/src/program/mod.rs
@@ -10,5 +10,6 @@
 mod members;
 mod serve;
 mod shared;
+mod startup;
 
 pub use cli::run;
--- a/front/src/program/serve.rs
+++ b/front/src/program/serve.rs
@@ -12,6 +12,7 @@
 use super::log::Log;
 use super::members::{Ends, Members};
 use super::shared::{Shared, OUT_MOST};
+use super::startup::{calls, Startup};
 use crate::protocol::feed::{Listing, News};
 use crate::protocol::member::name_of;
 use crate::protocol::ops::member_id;
@@ -63,6 +64,8 @@
     Sweep,
     Leave,
     Quiesced,
+    /// Members that are listed come into use.
+    Members,
     /// Another process may have left the clients' socket to this one.
     TakeOver,
     /// Another process may have heard of members out by hand.
@@ -84,6 +87,7 @@
     clients: Clients,
     members: Members,
     feed: Feed,
+    startup: Startup,
     log: Log,
     last_key: usize,
     leaving: Option<Time>,
@@ -107,7 +111,7 @@
 }
 
 /// Words for operators that the front itself takes.
-const WORDS: [(&str, &str); 10] = [
+const WORDS: [(&str, &str); 11] = [
     ("health", "whether it can serve"),
     ("counters", "the figures"),
     ("cordon", "{node}: take a cache, a parent or the origin out, by hand"),
@@ -116,6 +120,7 @@
     ("resume", "take clients again"),
     ("purge-dry", "{object | group | tag | pattern}: how many known objects match"),
     ("status", "how the front stands"),
+    ("startup", "whether it is ready, what it waits for, and the calls on the list service"),
     ("log", "{level}: change the log's level until the next reload"),
     ("reload", "read configuration and settings again, as SIGHUP does"),
 ];
@@ -142,18 +147,13 @@
         let shared = config.accept_fd.and_then(|_| share());
         let limits = config.deployment.limits.clone();
         let (last, known) = std::mem::take(&mut config.known);
-        let fleet = &config.deployment.settings;
-        let budget = daemon.startup.as_ref().map(|startup| cranesill_startup::Budget {
-            calls_per_s: startup.calls_per_s.into(),
-            wait_most: startup.wait_most_ms * 1_000,
-            haste: startup.haste_ms * 1_000,
-        });
-        let place = (fleet.number, fleet.routers);
-        let calls = cranesill_startup::Calls::new(clock.now(), place, config.seed, budget);
+        let calls = calls(clock.now(), &config, daemon.startup.as_ref());
+        let startup = Startup::new(clock.now(), &config, daemon.startup.as_ref());
         let mut server = Server {
             front: Front::new(config.deployment.clone(), config.seed, config.room()),
             members: Members::new(config.links_most(), limits.streams, limits.idle),
             feed: Feed::new(clock.now(), config.feed, last, calls),
+            startup,
             clients: Clients::new(),
             deadlines: Deadlines::new(),
             log,
@@ -183,6 +183,7 @@
         known.into_iter().for_each(|news| server.news(now, news));
         server.take_over(now, true);
         server.look(now);
+        server.get_ready(now);
         server.deadlines.add(server.feed.due, Due::Feed);
         server.deadlines.add(now + SWEEP, Due::Sweep);
         Ok(server)
@@ -307,6 +308,15 @@
                 let (known, matched) = floors.matched(&what);
                 Ok(json!({"known_objects": known, "matched": matched}))
             }
+            "startup" => {
+                let mut shown = self.startup.shown(self.members.listed().count(), self.members.reached());
+                let (unheard, last) = self.feed.stands();
+                shown["list"] = json!({
+                    "last_event": last, "unheard_for_ms": unheard.map(|since| now.saturating_sub(since) / 1_000),
+                    "calls": self.feed.called, "next_call_in_ms": unheard.map(|_| self.feed.due.saturating_sub(now) / 1_000),
+                });
+                Ok(shown)
+            }
             "reload" => {
                 self.reload(now);
                 Ok("read again; the log tells what was taken over".into())
@@ -342,7 +352,7 @@
         }
         put("upstream_tries".into(), self.members.written);
         put("in_progress".into(), self.front.open() as u64);
-        put("known_cache_nodes".into(), self.members.listed().count() as u64);
+        put("known_cache_nodes".into(), (self.members.listed().count() + self.startup.waiting()) as u64);
         put(
             "skipped_cache_nodes".into(),
             self.members.listed().filter(|m| self.front.avoids(*m)).count() as u64,
@@ -354,7 +364,8 @@
     fn by_hand(&mut self, now: Time, args: &Value, out: bool) -> Result<Value, String> {
         let text = args["node"].as_str().ok_or("node: missing")?;
         let id = member_id(text).ok_or("node: not s- and 8 hex digits")?;
-        let known = self.members.listed().any(|listed| listed == id) || self.front.avoids(id);
+        let known =
+            self.members.listed().any(|listed| listed == id) || self.startup.has(id) || self.front.avoids(id);
         if !known {
             return Err(format!("{text}: unknown"));
         }
@@ -552,9 +563,14 @@
                 }
                 self.hear(now, gone);
                 self.members.sweep(now, &mut ends);
+                self.get_ready(now);
                 self.listen(true);
                 self.deadlines.add(now + SWEEP, Due::Sweep);
             }
+            Due::Members => {
+                let list = self.startup.due(now);
+                self.take_members(now, false, list);
+            }
             Due::TakeOver => self.take_over(now, false),
             Due::Look => self.look(now),
             Due::Yes(number) => {
@@ -703,35 +719,58 @@
     }
 
     fn news(&mut self, now: Time, news: News) {
-        let mut ends = Vec::new();
         match news {
             News::Members { whole, list } => {
-                let entries: Vec<_> = list.iter().map(entry).collect();
-                let before: Vec<_> = if whole { self.members.listed().collect() } else { Vec::new() };
-                if whole {
-                    let ids: Vec<_> = entries.iter().map(|e| e.member).collect();
-                    self.members.keep_only(&ids);
-                }
-                entries.iter().zip(&list).for_each(|(entry, l)| self.members.list(entry, l.address));
-                let mut left_out: Vec<_> =
-                    entries.iter().filter(|e| e.state != Listed::Ready).map(|e| e.member).collect();
-                if whole {
-                    left_out.extend(before.into_iter().filter(|id| entries.iter().all(|e| e.member != *id)));
-                }
                 if !self.drivers.is_empty() {
                     let here = |l: &Listing| Some(l.address).filter(|_| l.state != Listed::Gone);
                     let told = |l: &Listing| (u64::from(l.id), l.kind, here(l));
                     self.effects.push(Effect::Members(list.iter().map(told).collect(), whole));
                     self.effects(now);
                 }
-                self.front.members(now, whole, entries);
-                left_out.into_iter().for_each(|id| self.members.leave_out(id, &mut ends));
+                let list = self.startup.listed(now, whole, list);
+                self.take_members(now, whole, list);
             }
             News::Purge { object, group, at_ms } => {
                 self.front.purged(now, object, group, at_ms.saturating_mul(1_000))
             }
         }
+        self.settle(now, Vec::new());
+    }
+
+    /// Takes over what the list says of members; `whole`: of all that are in use.
+    fn take_members(&mut self, now: Time, whole: bool, list: Vec<Listing>) {
+        let mut ends = Vec::new();
+        let entries: Vec<_> = list.iter().map(entry).collect();
+        let before: Vec<_> = if whole { self.members.listed().collect() } else { Vec::new() };
+        if whole {
+            let ids: Vec<_> = entries.iter().map(|e| e.member).collect();
+            self.members.keep_only(&ids);
+        }
+        entries.iter().zip(&list).for_each(|(entry, l)| self.members.list(entry, l.address));
+        let mut left_out: Vec<_> =
+            entries.iter().filter(|e| e.state != Listed::Ready).map(|e| e.member).collect();
+        if whole {
+            left_out.extend(before.into_iter().filter(|id| entries.iter().all(|e| e.member != *id)));
+        }
+        let new: Vec<_> = entries.iter().filter(|e| e.state == Listed::Ready).map(|e| e.member).collect();
+        self.front.members(now, whole, entries);
+        left_out.into_iter().for_each(|id| self.members.leave_out(id, &mut ends));
         self.settle(now, ends);
+        let dialled = if self.startup.dials() { new } else { Vec::new() };
+        for member in dialled {
+            let key = self.key();
+            if self.members.open(now, &self.reactor, key, member) {
+                self.deadlines.add(now + self.config.deployment.settings.connect_timeout, Due::Dial(key));
+            }
+        }
+        if let Some(at) = self.startup.next() {
+            self.deadlines.add(at, Due::Members);
+        }
+    }
+
+    fn get_ready(&mut self, now: Time) {
+        let (used, reached) = (self.members.listed().count(), self.members.reached());
+        self.clients.ready = self.startup.ready(now, used, reached);
     }
 
     /// Books ends and carries out commands until there are none.
--- a/rig/src/nodes.rs
+++ b/rig/src/nodes.rs
@@ -1,6 +1,5 @@
 //! Cache nodes, parents and the origin as stand-ins, all on one thread with a poller: many fronts times many nodes are
-//! thousands of connections. They hold old copies for as long as nobody asks for newer ones, which is the worst that the
-//! protocol allows.
+//! thousands of connections. They hold old copies for as long as the protocol allows, unless newer ones are asked for.
 use crate::history::{History, Seen};
 use polling::{Event, Events, PollMode, Poller};
 use std::cmp::Reverse;
@@ -54,6 +53,8 @@
 }
 
 struct Shared {
+    /// Objects that were purged, when, and from when on no node holds older copies, in Unix milliseconds.
+    purged: Mutex<Vec<(u64, u64, u64)>>,
     moods: Mutex<Vec<Mood>>,
     over: Mutex<bool>,
     poller: Poller,
@@ -64,7 +65,8 @@
     pub fn new(history: &History, ids: &[u32], writes: &[&str]) -> Self {
         let poller = Poller::new().expect("a poller");
         let moods = Mutex::new(vec![Mood::Answers(Duration::ZERO); ids.len()]);
-        let shared = Arc::new(Shared { moods, over: Mutex::new(false), poller });
+        let purged = Mutex::default();
+        let shared = Arc::new(Shared { purged, moods, over: Mutex::new(false), poller });
         let mut nodes = Vec::new();
         for id in ids {
             let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
@@ -91,6 +93,12 @@
         Nodes { all, shared, history: noted }
     }
 
+    /// An object was purged at this Unix millisecond; after so long no node holds an older copy.
+    pub fn purge(&self, item: u64, at_ms: u64, takes: Duration) {
+        let gone = at_ms + takes.as_millis() as u64;
+        self.shared.purged.lock().expect("no holder panics").push((item, at_ms, gone));
+    }
+
     /// From now on this node does that.
     pub fn set(&self, place: usize, mood: Mood) {
         let id = self.all[place].0;
@@ -391,7 +399,9 @@
             None if write => Word::Hit(wall_ms()),
             None => {
                 let now = wall_ms();
-                let does = |born: &u64| asked.oldest == 0 || now - *born <= asked.oldest;
+                let purged = self.shared.purged.lock().expect("no holder panics").clone();
+                let gone = |born: u64| purged.iter().any(|p| p.0 == asked.item && born < p.1 && now >= p.2);
+                let does = |born: &u64| !gone(*born) && (asked.oldest == 0 || now - *born <= asked.oldest);
                 let held = node.copies.get(&asked.item).copied().filter(does);
                 match held {
                     Some(born) => Word::Hit(born),
--- a/rig/src/script.rs
+++ b/rig/src/script.rs
@@ -66,7 +66,7 @@
         let (mut down, mut stopped) = (BTreeSet::new(), BTreeSet::new());
         // Front 0 and cache 0 are never touched.
         let front = |dice: &mut Dice| 1 + dice.below(shape.fronts - 1);
-        let place = |dice: &mut Dice| 1 + dice.below(shape.caches + shape.parents - 1);
+        let place = |dice: &mut Dice| 1 + dice.below(shape.caches + shape.parents);
         let ways = |dice: &mut Dice| {
             let one = |dice: &mut Dice| match dice.below(4) {
                 0 => Way::Pass,
@@ -134,7 +134,7 @@
         steps.push(Fault::Restart(down.into_iter().collect()));
         steps.push(Fault::Go(stopped.into_iter().collect()));
         steps.extend((1..shape.fronts).map(|front| Fault::Feed(front, None)));
-        for place in 1..shape.caches + shape.parents {
+        for place in 1..=shape.caches + shape.parents {
             steps.push(Fault::Node(place, Mood::Answers(Duration::from_millis(1))));
             steps.push(Fault::Listed(place, State::Ready));
             steps.extend((0..shape.sides).map(|side| Fault::Link(side, place, None)));
--- a/rig/src/stage.rs
+++ b/rig/src/stage.rs
@@ -21,7 +21,8 @@
     pub caches: usize,
     /// Parents.
     pub parents: usize,
-    /// Parts of the fleet that reach the nodes by links of their own; a front is of the part of its number.
+    /// Parts of the fleet that reach the nodes by links of their own; a front is of the part of its number. 0: no links at
+    /// all, neither to nodes nor to the list service; each costs threads.
     pub sides: usize,
 }
 
@@ -43,7 +44,9 @@
     listed: Vec<Listed>,
     addresses: Addresses,
     limits: Limits,
-    asks: Asks,
+    purge_takes: Duration,
+    /// What clients ask that begin from now on.
+    pub asks: Asks,
 }
 
 impl Stage {
@@ -67,14 +70,14 @@
             answer: limit(read).min(limit(one)) + SLACK,
             overlap: SLACK,
         };
+        let purge_takes = micros(&info["purgeTakes"]);
         let count = shape.caches + shape.parents + 1;
         let ids: Vec<_> = (0..count).map(|place| 0x101 + place as u32).collect();
         let names: Vec<_> = writes.iter().map(|i| name(*i)).collect();
         let names: Vec<_> = names.iter().map(String::as_str).collect();
         let nodes = Nodes::new(&history, &ids, &names);
-        let links: Vec<Vec<_>> = (0..shape.sides.max(1))
-            .map(|_| nodes.all.iter().map(|(_, at)| Link::new(*at)).collect())
-            .collect();
+        let links: Vec<Vec<_>> =
+            (0..shape.sides).map(|_| nodes.all.iter().map(|(_, at)| Link::new(*at)).collect()).collect();
         let listed: Vec<_> = (0..count)
             .map(|place| {
                 let (zone, kind, weight) = match place {
@@ -85,16 +88,22 @@
                 Listed { place, id: ids[place], state: State::Ready, zone, kind, weight, started_ms: 0 }
             })
             .collect();
-        let reach =
-            |front: usize| -> Vec<_> { links[front % links.len()].iter().map(|l| l.address).collect() };
+        let reach = |front: usize| -> Vec<_> {
+            match front.checked_rem(links.len()) {
+                Some(side) => links[side].iter().map(|l| l.address).collect(),
+                None => nodes.all.iter().map(|(_, at)| *at).collect(),
+            }
+        };
         let list = ListService::with_doors(&history, Mode::Serves, (0..shape.fronts).map(reach).collect());
-        let feeds: Vec<_> = list.doors.iter().map(|door| Link::new(*door)).collect();
+        let linked = list.doors.iter().filter(|_| !links.is_empty());
+        let feeds: Vec<_> = linked.map(|door| Link::new(*door)).collect();
+        let calls = |front: usize| feeds.get(front).map_or(list.doors[front], |link| link.address);
         let names = |key: &str, i: u8| base["settings"][key][usize::from(i)].clone();
         let fleet = Fleet::start(binary, shape.fronts, settings, |front| {
             let mut config = base.clone();
             config["name"] = format!("n{front}").into();
             config["listen"] = "127.0.0.1:0".into();
-            config["feed"] = feeds[front].address.to_string().into();
+            config["feed"] = calls(front).to_string().into();
             config["seed"] = format!("{:x}", seed.wrapping_mul(1_000_003) + front as u64).into();
             config["settings"]["nInstances"] = shape.fronts.into();
             config["settings"]["index"] = front.into();
@@ -112,7 +121,20 @@
         let pause = Duration::from_millis(20);
         let limit = limit(read).min(limit(one));
         let asks = Asks { read: name(read), write: name(one), objects: 50, pause, limit };
-        Stage { history, list, nodes, fleet, feeds, links, shape, listed, addresses, limits, asks }
+        Stage {
+            history,
+            list,
+            nodes,
+            fleet,
+            feeds,
+            links,
+            shape,
+            listed,
+            addresses,
+            limits,
+            purge_takes,
+            asks,
+        }
     }
 
     /// Clients begin to ask all fronts.
@@ -193,7 +215,9 @@
 
     /// The list service tells that an object is purged now.
     pub fn purge(&self, item: u64) -> u64 {
-        self.list.tell(Event::Purge(item, crate::nodes::wall_ms()))
+        let at_ms = crate::nodes::wall_ms();
+        self.nodes.purge(item, at_ms, self.purge_takes);
+        self.list.tell(Event::Purge(item, at_ms))
     }
 
     /// How many nodes there are.
--- a/startup/src/lib.rs
+++ b/startup/src/lib.rs
@@ -1,4 +1,5 @@
-//! The cold start of a fleet, without input, output or a clock: when a front calls the list service.
+//! The cold start of a fleet, without input, output or a clock: when a front calls the list service, when it begins
+//! to use members that are new to it, and when it says that it is ready.
 //!
 //! Rates are stated for the whole fleet and divided by the number of fronts, which every front knows from the settings.
 //! `docs/design/startup.md` says why it is so and what was measured.
@@ -6,8 +7,12 @@
 #![deny(missing_docs)]
 
 mod calls;
+mod ramp;
+mod ready;
 
 pub use calls::{Budget, Calls, End};
+pub use ramp::{Ramp, Take};
+pub use ready::{Needs, Ready, Waits};
 
 /// A moment on the caller's monotonic clock, in microseconds.
 pub type Time = u64;
