Keep the list on disk by setting, and hear a list service that begins to count anew

Need: a front that starts anew asks for all, and has nothing but its configuration while the service is down; and a list service that returned with other numbers was not heard again, for ever: its events were taken for old ones. Seen by the rig: eight fronts that held event 7 were told of none of a new list under number 2.

What is torn, of another version, list or time, or too old (serve_snapshot_s) is as if absent, and the log says why; a list read from disk does not grow younger by restarts. A service whose own last event stays before the one held for 3 s is asked for all. The codec has the shape of what processes leave for each other.

Ruled out: taking the first lower number for a new count. A replica that is behind would make every front go back.

Stories (rig): all fronts killed while the service is down, with lists torn, of another version, empty and gone on four of eight; restarts beyond the age; a folder that can't be written; a service that counts anew; a write whose connection breaks once it was sent (mood Breaks, by the dice as well).

--- a/daemon/src/types.rs
+++ b/daemon/src/types.rs
@@ -61,6 +61,13 @@
     /// The yes of a whole fleet is spread over this.
     #[schemars(range(min = 0, max = 600_000))]
     pub ready_spread_ms: u64,
+    /// A folder in which the list is kept, in a file by the front's name; absent: it is not.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    #[schemars(with = "PathBuf")]
+    pub snapshots: Option<PathBuf>,
+    /// A list on disk that is older than this is not served from.
+    #[schemars(range(min = 1, max = 86_400))]
+    pub serve_snapshot_s: u64,
 }
 
 impl Default for Startup {
@@ -74,6 +81,8 @@
             ready_percent: 0,
             ready_most_ms: 3_000,
             ready_spread_ms: 0,
+            snapshots: None,
+            serve_snapshot_s: 600,
         }
     }
 }
--- a/front/src/program/drivers/effect.rs
+++ b/front/src/program/drivers/effect.rs
@@ -1,5 +1,6 @@
 //! What drivers bring about for others, by the subsystem that it concerns.
 use super::served::{Proof, Table};
+use crate::protocol::feed::News;
 use crate::transport::Registered;
 use cranesill_purges::matching::{Mark, Set};
 use cranesill_purges::Purge;
@@ -16,6 +17,10 @@
     Answer(u64, Result<Value, String>),
     /// Members that are listed, with their kind and where they listen (`None`: gone); `true`: all that there are.
     Members(Vec<(u64, u8, Option<SocketAddr>)>, bool),
+    /// The list service has told this, with the number of the event.
+    Heard(u64, News),
+    /// Nothing new, and the list service says so.
+    Current,
     /// A member served what it had been asked not to.
     Lied(u64),
     /// Of TLS and certificates.
--- a/front/src/program/drivers/mod.rs
+++ b/front/src/program/drivers/mod.rs
@@ -7,6 +7,7 @@
 pub mod ops;
 pub mod purges;
 mod served;
+pub mod snapshot;
 pub mod tls;
 
 pub use effect::{Effect, Purging, Secured};
--- /dev/null
+++ b/front/src/program/drivers/snapshot.rs
@@ -0,0 +1,159 @@
+//! Keeps the list of members on disk, so that a front that starts anew asks for changes only, and has a list to serve from while
+//! the list service can't be reached. Written aside and renamed, on a thread of its own.
+use super::{Driver, Effect, Turn};
+use crate::protocol::feed::News;
+use crate::protocol::snapshot::{Snapshot, BYTES_MOST};
+use crate::transport::Workers;
+use cranesill::api::{Span, Time};
+use cranesill_startup::{judge, Dated};
+use std::fs::File;
+use std::io::{self, Read, Write};
+use std::os::unix::fs::OpenOptionsExt;
+use std::path::{Path, PathBuf};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// Pause between two writes.
+const EACH: Span = 1_000_000;
+/// While nothing changes the list is written this often, with the time at which it was still known to be so.
+const AGAIN_MS: u64 = 20_000;
+/// Purges are kept this much longer than members may hold older copies.
+const PURGE_SLACK_MS: u64 = 2_000;
+
+/// Unix milliseconds.
+pub fn wall_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
+
+/// Where the snapshot of a front of this name lies.
+pub fn path(folder: &Path, name: &str) -> PathBuf {
+    let plain = |b: u8| b.is_ascii_alphanumeric() || b == b'-' || b == b'_';
+    let name: String = name.bytes().map(|b| if plain(b) { char::from(b) } else { '_' }).collect();
+    folder.join(format!("{name}.list"))
+}
+
+/// Reads what lies there, if a front is to serve from it that knows so much by its configuration. Otherwise the log says why.
+pub fn load(path: &Path, source: u64, known: u64, serve_ms: u64) -> Option<Snapshot> {
+    let mut text = Vec::new();
+    // Not blocking: what somebody else put there may be a pipe that nobody writes to.
+    let opened = File::options().read(true).custom_flags(libc::O_NONBLOCK).open(path);
+    let read = opened.and_then(|file| file.take(BYTES_MOST as u64 + 1).read_to_end(&mut text));
+    let found = match read {
+        Err(e) if e.kind() == io::ErrorKind::NotFound => return None,
+        Err(error) => Err(error.to_string()),
+        Ok(_) => Snapshot::read(&text).map_err(str::to_string),
+    };
+    let found = found.and_then(|found| {
+        let dated = Dated { source: found.source, number: found.number, at_ms: found.at_ms };
+        judge(wall_ms(), dated, source, known, serve_ms).map_err(|why| why.to_string()).map(|()| found)
+    });
+    let at = path.display();
+    match found {
+        Ok(found) => {
+            let age_ms = wall_ms().saturating_sub(found.at_ms);
+            let (event, members) = (found.number, found.members.len());
+            tracing::info!(kind = "snapshot", event, members, age_ms, %at, "the list is served from disk");
+            Some(found)
+        }
+        Err(why) => {
+            tracing::info!(kind = "snapshot", why, %at, "the list on disk is left aside");
+            None
+        }
+    }
+}
+
+fn write(path: &Path, text: &str) -> io::Result<()> {
+    let aside = path.with_extension(format!("{}.tmp", std::process::id()));
+    let written = File::create(&aside).and_then(|mut file| {
+        file.write_all(text.as_bytes())?;
+        // A name must not come to stand for what the disk does not have yet.
+        file.sync_data()?;
+        std::fs::rename(&aside, path)
+    });
+    if written.is_err() {
+        let _ = std::fs::remove_file(&aside);
+    }
+    written
+}
+
+/// The driver.
+pub struct Snapshots {
+    path: PathBuf,
+    known: Snapshot,
+    /// Purges count for so long.
+    purge_ms: u64,
+    workers: Workers<io::Result<()>>,
+    /// Something is not written yet; a write is under way.
+    dirty: bool,
+    busy: bool,
+    due: Time,
+    failed: bool,
+}
+
+impl Snapshots {
+    /// Keeps what is known and becomes known in `path`; `purge` is for how long members may hold purged copies.
+    pub fn new(turn: &mut Turn<'_>, path: PathBuf, known: Snapshot, purge: Span) -> Result<Self, String> {
+        let key = turn.key();
+        let workers = Workers::new(turn.reactor, key).map_err(|e| format!("startup.snapshots: {e}"))?;
+        let purge_ms = purge / 1_000 + PURGE_SLACK_MS;
+        Ok(Snapshots {
+            path,
+            known,
+            purge_ms,
+            workers,
+            dirty: false,
+            busy: false,
+            due: turn.now,
+            failed: false,
+        })
+    }
+
+    fn news(&mut self, number: u64, news: &News) {
+        let now = wall_ms();
+        self.known.take(number, now, now.saturating_sub(self.purge_ms), news);
+        self.dirty = true;
+    }
+}
+
+impl Driver for Snapshots {
+    fn ready(&mut self, turn: &mut Turn<'_>, _: usize, _: bool, _: bool) {
+        for done in self.workers.results() {
+            self.busy = false;
+            self.due = turn.now + EACH;
+            if let Err(error) = &done {
+                // What is known is kept: it is tried again, and told once.
+                self.dirty = true;
+                if !self.failed {
+                    tracing::warn!(kind = "snapshot", %error, at = %self.path.display(), "the list can't be kept on disk");
+                }
+            }
+            self.failed = done.is_err();
+        }
+    }
+
+    fn due(&mut self, turn: &mut Turn<'_>) {
+        if !self.dirty || self.busy || turn.now < self.due {
+            return;
+        }
+        self.dirty = false;
+        let Some(text) = self.known.text() else { return };
+        let path = self.path.clone();
+        self.busy = self.workers.in_order(move || write(&path, &text)).is_ok();
+        self.dirty = !self.busy;
+        self.due = turn.now + EACH;
+    }
+
+    fn next(&self) -> Option<Time> {
+        (self.dirty && !self.busy).then_some(self.due)
+    }
+
+    fn told(&mut self, _: &mut Turn<'_>, effect: &Effect) {
+        match effect {
+            Effect::Heard(number, news) => self.news(*number, news),
+            Effect::Current if wall_ms() >= self.known.at_ms + AGAIN_MS => {
+                self.known.at_ms = wall_ms();
+                self.dirty = self.known.number > 0;
+            }
+            _ => {}
+        }
+    }
+}
--- a/front/src/program/feed.rs
+++ b/front/src/program/feed.rs
@@ -9,6 +9,9 @@
 
 /// An empty frame comes each second: no whole one for longer means that the connection is dead.
 const SILENCE_MOST: Span = 2_500_000;
+/// A service that says for so long that its last event is before the one held here has begun to count anew; one that is only
+/// behind comes up to it by then.
+const BEHIND_MOST: Span = 3_000_000;
 /// Bytes that one read takes at most.
 const READ_MOST: usize = 16 * 1024;
 
@@ -25,6 +28,8 @@
     calls: Calls,
     /// Since when nothing is heard of the service, and whether that was told.
     lost: Option<(Time, bool)>,
+    /// Since when this connection says that its last event is before the one held here.
+    behind: Option<Time>,
     /// When it is given up if nothing more is heard, or tried again.
     pub due: Time,
     /// Calls that were made.
@@ -35,7 +40,18 @@
     /// Is not connected yet: that is due soon.
     pub fn new(now: Time, address: SocketAddr, last: u64, mut calls: Calls) -> Self {
         let (scratch, due) = (vec![0; READ_MOST], calls.first(now));
-        Feed { address, last, scratch, stream: None, up: false, calls, lost: None, due, called: 0 }
+        Feed {
+            address,
+            last,
+            scratch,
+            stream: None,
+            up: false,
+            calls,
+            lost: None,
+            due,
+            called: 0,
+            behind: None,
+        }
     }
 
     /// Since when the service was not heard of, if it is not now; and the last event that is held.
@@ -43,6 +59,11 @@
         (self.lost.map(|lost| lost.0), self.last)
     }
 
+    /// Whether the service is heard now: it has said something on this connection.
+    pub fn heard(&self) -> bool {
+        self.up && self.lost.is_none() && self.calls.spoke()
+    }
+
     /// Whether this is the connection to the feed.
     pub fn is(&self, key: usize) -> bool {
         self.stream.as_ref().is_some_and(|s| s.0 == key)
@@ -63,6 +84,7 @@
         }
         self.due = self.calls.begin(now);
         self.called += 1;
+        self.behind = None;
         match dial(self.address).and_then(|s| Stream::new(reactor, s, key, true)) {
             Ok(stream) => (self.stream, self.up) = (Some((key, stream)), false),
             Err(_) => return self.end(now, End::Refused),
@@ -128,6 +150,18 @@
                     let lost_ms = now.saturating_sub(since) / 1_000;
                     tracing::info!(kind = "list", lost_ms, "the list service is heard again");
                 }
+                let behind = number < self.last && event.is_none() && self.calls.budgeted();
+                self.behind = behind.then(|| self.behind.unwrap_or(now));
+                if self.behind.is_some_and(|since| now >= since + BEHIND_MOST) {
+                    tracing::warn!(
+                        kind = "list",
+                        number,
+                        held = self.last,
+                        "the list service counts anew: all is asked for"
+                    );
+                    self.last = 0;
+                    return Err(io::ErrorKind::UnexpectedEof.into());
+                }
                 // After a new connection events may come again.
                 if let Some(event) = event.filter(|_| number > self.last) {
                     self.last = number;
--- a/front/src/program/serve.rs
+++ b/front/src/program/serve.rs
@@ -5,6 +5,7 @@
 use super::drivers::control::Control;
 use super::drivers::ops::Ops;
 use super::drivers::purges::{what, Purges};
+use super::drivers::snapshot::Snapshots;
 use super::drivers::tls::Tls;
 use super::drivers::{slot_of, Driver, Effect, Purging, Secured, Turn};
 use super::feed::Feed;
@@ -12,10 +13,11 @@
 use super::log::Log;
 use super::members::{Ends, Members};
 use super::shared::{Shared, OUT_MOST};
-use super::startup::{calls, Startup};
+use super::startup::{calls, known, snapshots, Known, Startup};
 use crate::protocol::feed::{Listing, News};
 use crate::protocol::member::name_of;
 use crate::protocol::ops::member_id;
+use crate::protocol::snapshot::Snapshot;
 use crate::routing::{Answer, AttemptId, Command, End, Front, Wake};
 use crate::transport::{inherited, listen, Clock, Deadlines, Reactor, Registered};
 use cranesill::api::{Entry, Listed, MemberId, Span, Time};
@@ -88,6 +90,8 @@
     members: Members,
     feed: Feed,
     startup: Startup,
+    /// What the list service tells is told to drivers.
+    hears: bool,
     log: Log,
     last_key: usize,
     leaving: Option<Time>,
@@ -146,7 +150,7 @@
         let hangup = raised(&reactor, signal_hook::consts::SIGHUP, HANGUP).map_err(failed("signals"))?;
         let shared = config.accept_fd.and_then(|_| share());
         let limits = config.deployment.limits.clone();
-        let (last, known) = std::mem::take(&mut config.known);
+        let Known { last, news, list } = known(&mut config, daemon.startup.as_ref());
         let calls = calls(clock.now(), &config, daemon.startup.as_ref());
         let startup = Startup::new(clock.now(), &config, daemon.startup.as_ref());
         let mut server = Server {
@@ -154,6 +158,7 @@
             members: Members::new(config.links_most(), limits.streams, limits.idle),
             feed: Feed::new(clock.now(), config.feed, last, calls),
             startup,
+            hears: false,
             clients: Clients::new(),
             deadlines: Deadlines::new(),
             log,
@@ -179,8 +184,9 @@
         let now = server.clock.now();
         let at = server.listener.local_addr().map_err(failed("listener"))?;
         tracing::info!(name = server.config.name, %at, "listening");
-        server.drivers(now)?;
-        known.into_iter().for_each(|news| server.news(now, news));
+        server.drivers(now, list)?;
+        news.into_iter().for_each(|news| server.news(now, news));
+        server.hears = server.daemon.startup.as_ref().is_some_and(|s| s.snapshots.is_some());
         server.take_over(now, true);
         server.look(now);
         server.get_ready(now);
@@ -190,7 +196,7 @@
     }
 
     /// Starts the subsystems that the settings name. The control socket is the last: it knows the others' words.
-    fn drivers(&mut self, now: Time) -> Result<(), String> {
+    fn drivers(&mut self, now: Time, list: Snapshot) -> Result<(), String> {
         if let Some(at) = self.config.ops {
             let beside = self.config.accept_fd.is_some();
             self.start(now, |turn| Ok(Box::new(Ops::new(turn, at, beside)?)))?;
@@ -207,6 +213,10 @@
         if let Some(purges) = daemon.purges {
             self.start(now, |turn| Ok(Box::new(Purges::new(turn, &purges, &kinds)?)))?;
         }
+        if let Some((path, _)) = snapshots(&self.config, daemon.startup.as_ref()) {
+            let purge = self.config.deployment.settings.purge_done;
+            self.start(now, |turn| Ok(Box::new(Snapshots::new(turn, path, list, purge)?)))?;
+        }
         if let Some(control) = daemon.control {
             let words = self.drivers.iter().flat_map(|(driver, _)| driver.words());
             let help: BTreeMap<_, _> = words.chain(WORDS).collect();
@@ -564,6 +574,10 @@
                 self.hear(now, gone);
                 self.members.sweep(now, &mut ends);
                 self.get_ready(now);
+                if self.feed.heard() && self.hears {
+                    self.effects.push(Effect::Current);
+                    self.effects(now);
+                }
                 self.listen(true);
                 self.deadlines.add(now + SWEEP, Due::Sweep);
             }
@@ -719,6 +733,10 @@
     }
 
     fn news(&mut self, now: Time, news: News) {
+        if self.hears {
+            self.effects.push(Effect::Heard(self.feed.stands().1, news.clone()));
+            self.effects(now);
+        }
         match news {
             News::Members { whole, list } => {
                 if !self.drivers.is_empty() {
--- a/front/src/program/startup.rs
+++ b/front/src/program/startup.rs
@@ -1,10 +1,13 @@
 //! The cold start on the loop: which members are used already, and whether the front is ready. The choices are the crate's.
 use super::config::Config;
-use crate::protocol::feed::Listing;
+use super::drivers::snapshot::{load, path, wall_ms};
+use crate::protocol::feed::{Listing, News};
+use crate::protocol::snapshot::Snapshot;
 use cranesill::api::{Listed, MemberId, Time};
 use cranesill_daemon::Startup as Settings;
 use cranesill_startup::{Budget, Calls, Needs, Ramp, Ready, Take, Waits};
 use serde_json::{json, Value};
+use std::path::PathBuf;
 
 /// When this front calls the list service.
 pub fn calls(now: Time, config: &Config, settings: Option<&Settings>) -> Calls {
@@ -20,6 +23,41 @@
     (config.deployment.settings.number, config.deployment.settings.routers)
 }
 
+/// Where the list is kept on disk, and which list it is; `None`: it is not.
+pub fn snapshots(config: &Config, settings: Option<&Settings>) -> Option<(PathBuf, u64)> {
+    let folder = settings.filter(|_| config.accept_fd.is_none())?.snapshots.as_ref()?;
+    // Records refer to places in these lists.
+    let names = &config.deployment.names;
+    let of = format!("{} {:?} {:?}", config.feed, names.zones, names.kinds);
+    let source = u64::from(crc32fast::hash(of.as_bytes()));
+    Some((path(folder, &config.name), source))
+}
+
+/// What a front knows at its start.
+pub struct Known {
+    /// The last event.
+    pub last: u64,
+    /// All that there is to be told.
+    pub news: Vec<News>,
+    /// The list as it is to be kept on disk from then on. One that was read there stays as old as it is.
+    pub list: Snapshot,
+}
+
+/// What the configuration knows, or what lies on disk and is newer.
+pub fn known(config: &mut Config, settings: Option<&Settings>) -> Known {
+    let (last, mut news) = std::mem::take(&mut config.known);
+    let serve_ms = settings.map_or(0, |s| s.serve_snapshot_s * 1_000);
+    let kept = snapshots(config, settings);
+    let found = kept.as_ref().and_then(|(path, source)| load(path, *source, last, serve_ms));
+    if let Some(list) = found {
+        news.extend(list.news());
+        return Known { last: list.number, news, list };
+    }
+    let mut list = Snapshot { source: kept.map_or(0, |(_, source)| source), ..Snapshot::default() };
+    news.iter().for_each(|one| list.take(last, wall_ms(), 0, one));
+    Known { last, news, list }
+}
+
 /// What the settings switch on of it.
 pub struct Startup {
     /// Members that are listed and wait to be used.
--- a/front/src/protocol/mod.rs
+++ b/front/src/protocol/mod.rs
@@ -7,6 +7,7 @@
 pub mod ops;
 pub mod purge;
 pub mod shared;
+pub mod snapshot;
 
 /// Why a stream of bytes can't be read any further.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- /dev/null
+++ b/front/src/protocol/snapshot.rs
@@ -0,0 +1,197 @@
+//! The list of members as a front last knew it, on disk: a head with version and checksum, as of what processes leave for each
+//! other, and a line for each member and each purge that still counts. No I/O here.
+use super::feed::{Listing, News};
+use cranesill::api::Listed;
+use std::collections::BTreeMap;
+
+const VERSION: &str = "v1";
+/// Bytes at most: some thousand members and as many purges.
+pub const BYTES_MOST: usize = 2 << 20;
+/// Purges that are kept at most; with more the snapshot is not to be served from.
+const PURGES_MOST: usize = 10_000;
+
+/// A list with the number of the last event that is in it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Snapshot {
+    /// Which list it is.
+    pub source: u64,
+    /// The last event.
+    pub number: u64,
+    /// When it was known so, in Unix milliseconds.
+    pub at_ms: u64,
+    /// The members by their ids.
+    pub members: BTreeMap<u32, Listing>,
+    /// Purges: object or group, and when.
+    pub purges: Vec<(Option<u64>, u32, u64)>,
+}
+
+impl Snapshot {
+    /// Takes news over. Purges from before `since_ms` are over.
+    pub fn take(&mut self, number: u64, now_ms: u64, since_ms: u64, news: &News) {
+        (self.number, self.at_ms) = (number, now_ms);
+        match news {
+            News::Members { whole, list } => {
+                if *whole {
+                    self.members.clear();
+                }
+                for one in list {
+                    if one.state == Listed::Gone {
+                        self.members.remove(&one.id);
+                    } else {
+                        self.members.insert(one.id, one.clone());
+                    }
+                }
+            }
+            News::Purge { object, group, at_ms } => self.purges.push((*object, *group, *at_ms)),
+        }
+        self.purges.retain(|purge| purge.2 >= since_ms);
+    }
+
+    /// What a front that starts is to be told of it.
+    pub fn news(&self) -> Vec<News> {
+        let whole = News::Members { whole: true, list: self.members.values().cloned().collect() };
+        let purge = |p: &(Option<u64>, u32, u64)| News::Purge { object: p.0, group: p.1, at_ms: p.2 };
+        std::iter::once(whole).chain(self.purges.iter().map(purge)).collect()
+    }
+
+    /// As it is written. `None`: it has grown too large to be.
+    pub fn text(&self) -> Option<String> {
+        if self.purges.len() > PURGES_MOST {
+            return None;
+        }
+        let mut body = format!("from {:016x} {} {}\n", self.source, self.number, self.at_ms);
+        for m in self.members.values() {
+            let state = u8::from(m.state == Listed::Draining);
+            let weight = (m.weight * 1e3).round() as u64;
+            body += &format!(
+                "m {:08x} {} {state} {} {} {} {weight} {}\n",
+                m.id, m.address, m.zone, m.kind, m.cell, m.started_ms
+            );
+        }
+        for (object, group, at_ms) in &self.purges {
+            body += &match object {
+                Some(object) => format!("o {object:016x} {at_ms}\n"),
+                None => format!("g {group} {at_ms}\n"),
+            };
+        }
+        let text = format!("cranesill list {VERSION} {:08x}\n{body}", crc32fast::hash(body.as_bytes()));
+        Some(text).filter(|text| text.len() <= BYTES_MOST)
+    }
+
+    /// Reads it. The error says why it is as if absent.
+    pub fn read(text: &[u8]) -> Result<Self, &'static str> {
+        if text.len() > BYTES_MOST {
+            return Err("it is too long");
+        }
+        let text = std::str::from_utf8(text).map_err(|_| "it is no text")?;
+        let (head, body) = text.split_once('\n').ok_or("it has no head")?;
+        let head: Vec<_> = head.split(' ').collect();
+        if head.len() != 4 || head[..2] != ["cranesill", "list"] {
+            return Err("it is of something else");
+        }
+        if head[2] != VERSION {
+            return Err("it is of another version");
+        }
+        if u32::from_str_radix(head[3], 16) != Ok(crc32fast::hash(body.as_bytes())) {
+            return Err("its checksum is wrong");
+        }
+        let mut found = Snapshot::default();
+        for (n, line) in body.lines().enumerate() {
+            let words: Vec<_> = line.split(' ').collect();
+            let read = if n == 0 { found.first(&words) } else { found.line(&words) };
+            read.ok_or("a line can't be read")?;
+        }
+        if body.is_empty() {
+            return Err("it has no number");
+        }
+        Ok(found)
+    }
+
+    fn first(&mut self, words: &[&str]) -> Option<()> {
+        let ["from", source, number, at] = words else { return None };
+        self.source = u64::from_str_radix(source, 16).ok()?;
+        (self.number, self.at_ms) = (number.parse().ok()?, at.parse().ok()?);
+        Some(())
+    }
+
+    fn line(&mut self, words: &[&str]) -> Option<()> {
+        match words {
+            ["m", id, address, state, zone, kind, cell, weight, started] => {
+                let id = u32::from_str_radix(id, 16).ok()?;
+                let listing = Listing {
+                    id,
+                    address: address.parse().ok()?,
+                    state: [Listed::Ready, Listed::Draining].get(state.parse::<usize>().ok()?).copied()?,
+                    zone: zone.parse().ok()?,
+                    kind: kind.parse().ok()?,
+                    cell: cell.parse().ok()?,
+                    weight: weight.parse::<u32>().ok().map(|w| f64::from(w) / 1e3)?,
+                    started_ms: started.parse().ok()?,
+                };
+                self.members.insert(id, listing).is_none().then_some(())
+            }
+            ["o", object, at] => {
+                let object = u64::from_str_radix(object, 16).ok()?;
+                self.purges.push((Some(object), 0, at.parse().ok()?));
+                Some(())
+            }
+            ["g", group, at] => {
+                self.purges.push((None, group.parse().ok()?, at.parse().ok()?));
+                Some(())
+            }
+            _ => None,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn listing(id: u32, state: Listed) -> Listing {
+        let address = "127.0.0.1:80".parse().unwrap();
+        Listing { id, address, state, zone: 1, kind: 2, cell: 3, weight: 4.25, started_ms: 5 }
+    }
+
+    fn known() -> Snapshot {
+        let mut known = Snapshot { source: 0xfeed, ..Snapshot::default() };
+        let members =
+            vec![listing(1, Listed::Ready), listing(2, Listed::Draining), listing(3, Listed::Ready)];
+        known.take(4, 900, 0, &News::Members { whole: true, list: members });
+        known.take(5, 950, 0, &News::Purge { object: Some(0xabc), group: 0, at_ms: 940 });
+        known.take(6, 960, 0, &News::Purge { object: None, group: 9, at_ms: 955 });
+        known.take(7, 999, 945, &News::Members { whole: false, list: vec![listing(3, Listed::Gone)] });
+        known
+    }
+
+    #[test]
+    fn what_is_written_is_read_and_what_is_over_is_dropped() {
+        let known = known();
+        assert_eq!((known.members.len(), known.purges.len()), (2, 1), "gone, and over");
+        let text = known.text().unwrap();
+        assert_eq!(Snapshot::read(text.as_bytes()).as_ref(), Ok(&known));
+        assert_eq!(known.news().len(), 2);
+        insta::assert_snapshot!(text);
+    }
+
+    #[test]
+    fn cut_at_every_byte_or_changed_in_any_it_is_as_if_absent() {
+        let text = known().text().unwrap().into_bytes();
+        for cut in 0..text.len() {
+            assert!(Snapshot::read(&text[..cut]).is_err(), "cut at {cut}");
+            let mut bad = text.clone();
+            bad[cut] ^= 1;
+            assert!(Snapshot::read(&bad).is_err(), "byte {cut}");
+        }
+        let whole =
+            |body: &str| format!("cranesill list v1 {:08x}\n{body}", crc32fast::hash(body.as_bytes()));
+        for body in
+            ["", "m\n", "from 1 2\n", "from 1 2 3\nx\n", "from 1 2 3\no zz 3\n", "from 1 2 3\ng -1 3\n"]
+        {
+            assert!(Snapshot::read(whole(body).as_bytes()).is_err(), "{body}");
+        }
+        assert!(Snapshot::read(&vec![b'x'; BYTES_MOST + 1]).is_err());
+        let many = (0..=PURGES_MOST as u64).map(|n| (Some(n), 0, n)).collect();
+        assert_eq!(Snapshot { purges: many, ..known() }.text(), None);
+    }
+}
--- a/front/tests/partial.rs
+++ b/front/tests/partial.rs
@@ -28,6 +28,29 @@
     }
 }
 
+#[test]
+fn a_write_whose_connection_breaks_once_it_was_sent_never_runs_again() {
+    let shape = Shape { fronts: 4, caches: 3, parents: 1, sides: 1 };
+    let mut stage = stage(shape, 8);
+    let origin = stage.places() - 1;
+    let clients = stage.clients(8);
+    stage.served("the first answers", 40);
+    for _ in 0..4 {
+        // It takes a request and breaks; then each connection to it breaks at any moment.
+        stage.nodes.set(origin, Mood::Breaks);
+        stage.served("answers of caches", 60);
+        stage.nodes.set(origin, Mood::Answers(Duration::from_millis(30)));
+        for _ in 0..10 {
+            stage.reset(0, origin);
+            stage.served("answers", 10);
+        }
+    }
+    let ran = stage.history.count(|seen| matches!(seen, Seen::Ran(_)));
+    assert!(ran >= 10, "{ran} writes ran");
+    clients.end();
+    stage.keeps_the_rules(8);
+}
+
 #[test]
 fn what_waits_for_a_connection_does_not_go_to_a_node_that_drains_meanwhile() {
     // One side of the fleet reaches a cache by a link that is cut; connections come up and say nothing. The cache is told to
@@ -166,3 +189,153 @@
     clients.end();
     stage.keeps_the_rules(9);
 }
+
+fn to_cache_by(stage: &Stage, place: usize, fronts: &[usize], from: Duration) -> usize {
+    let id = stage.nodes.all[place].0;
+    // Which front asked stands in the id of the request.
+    let by = |txn: u64| (txn >> 40) as usize - 1;
+    let of = |seen: &Seen| matches!(seen, Seen::Sent { node, txn, .. } if *node == id && fronts.contains(&by(*txn)));
+    stage.history.moments(of).into_iter().filter(|at| *at >= from).count()
+}
+
+#[test]
+fn a_list_on_disk_is_served_from_while_the_service_is_down_and_a_bad_one_is_as_if_absent() {
+    let folder = tempfile::tempdir().unwrap();
+    let settings = json!({"startup": {"snapshots": folder.path()}});
+    let shape = Shape { fronts: 8, caches: 4, parents: 2, sides: 0 };
+    let mut stage = stage_with(shape, Some(&settings), 11);
+    let clients = stage.clients(11);
+    stage.served("the first answers", 50);
+    let last = stage.list(1, State::Draining);
+    let file = |front: usize| folder.path().join(format!("n{front}.list"));
+    let until = std::time::Instant::now() + cranesill_rig::GUARD;
+    // Its second line names the list, the last event in it, and when.
+    let number = |text: String| text.lines().nth(1)?.split(' ').nth(2)?.parse::<u64>().ok();
+    let held = |front: usize| std::fs::read_to_string(file(front)).ok().and_then(number) == Some(last);
+    while !(0..8).all(held) {
+        assert!(std::time::Instant::now() < until, "not all lists are on disk");
+        std::thread::yield_now();
+    }
+    stage.list.set(Mode::Down);
+    let all: Vec<usize> = (0..8).collect();
+    stage.kill(&all);
+    // Torn, of another version, empty, and gone.
+    let text = std::fs::read_to_string(file(0)).unwrap();
+    std::fs::write(file(0), &text[..text.len() / 2]).unwrap();
+    std::fs::write(file(1), text.replacen("v1", "v9", 1)).unwrap();
+    std::fs::write(file(2), "").unwrap();
+    std::fs::remove_file(file(3)).unwrap();
+    let back = stage.history.now();
+    stage.restart(&all);
+    stage.served("answers without the service", 400);
+    assert_eq!(to_cache_by(&stage, 1, &[4, 5, 6, 7], back), 0, "what drained is known to drain");
+    assert!(to_cache_by(&stage, 1, &[0, 1, 2, 3], back) > 0, "without a list on disk that can't be known");
+    for front in 0..3 {
+        assert!(
+            stage.fleet.log(front).contains("the list on disk is left aside"),
+            "{}",
+            stage.fleet.log(front)
+        );
+    }
+    stage.list.set(Mode::Serves);
+    let told = |seen: &Seen| matches!(seen, Seen::Told(front, n) if *n == last && *front < 4);
+    let before = stage.history.moments(told).iter().filter(|at| **at < back).count();
+    stage.history.until("those without are told", before + 4, told);
+    stage.served("answers with the service", 200);
+    // Those with a list asked for what came after it: nothing.
+    let again = |seen: &Seen| matches!(seen, Seen::Told(front, _) if *front >= 4);
+    assert_eq!(stage.history.moments(again).into_iter().filter(|at| *at >= back).count(), 0);
+    clients.end();
+    stage.keeps_the_rules(11);
+}
+
+#[test]
+fn a_list_on_disk_does_not_grow_younger_by_restarts() {
+    let folder = tempfile::tempdir().unwrap();
+    let settings = json!({"startup": {"snapshots": folder.path(), "serve_snapshot_s": 3}});
+    let mut stage = stage_with(Shape { fronts: 2, caches: 2, parents: 1, sides: 0 }, Some(&settings), 14);
+    let clients = stage.clients(14);
+    stage.purge(3);
+    let on_disk = |front: usize| {
+        let text = std::fs::read_to_string(folder.path().join(format!("n{front}.list"))).unwrap_or_default();
+        text.contains("\no ")
+    };
+    let until = std::time::Instant::now() + cranesill_rig::GUARD;
+    while !(on_disk(0) && on_disk(1)) {
+        assert!(std::time::Instant::now() < until, "not all lists are on disk");
+        std::thread::yield_now();
+    }
+    let kept = stage.history.now();
+    stage.list.set(Mode::Down);
+    let served = |stage: &Stage, front: usize| {
+        let log = stage.fleet.log(front);
+        (log.matches("is served from disk").count(), log.matches("older than may be served from").count())
+    };
+    while stage.history.now() < kept + 5 * S {
+        stage.kill(&[0, 1]);
+        stage.restart(&[0, 1]);
+        stage.served("answers after a restart", 40);
+    }
+    for front in [0, 1] {
+        let (yes, no) = served(&stage, front);
+        assert!(
+            yes >= 1 && no >= 1,
+            "{yes} times it was served from, {no} times too old: {}",
+            stage.fleet.log(front)
+        );
+    }
+    clients.end();
+    stage.keeps_the_rules(14);
+}
+
+#[test]
+fn a_folder_that_can_not_be_written_costs_a_warning_and_nothing_else() {
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("file");
+    std::fs::write(&file, "").unwrap();
+    let settings = json!({"startup": {"snapshots": file}});
+    let shape = Shape { fronts: 2, caches: 2, parents: 1, sides: 0 };
+    let mut stage = stage_with(shape, Some(&settings), 12);
+    let clients = stage.clients(12);
+    let purge = stage.purge(3);
+    stage.history.until("both are told", 2, |seen| matches!(seen, Seen::Told(_, n) if *n == purge));
+    stage.served("answers all the same", 300);
+    for front in 0..2 {
+        assert_eq!(
+            stage.fleet.log(front).matches("be kept on disk").count(),
+            1,
+            "{}",
+            stage.fleet.log(front)
+        );
+    }
+    clients.end();
+    stage.keeps_the_rules(12);
+}
+
+#[test]
+fn a_list_service_that_begins_to_count_anew_is_heard_by_all() {
+    let shape = Shape { fronts: 8, caches: 4, parents: 2, sides: 0 };
+    let mut stage = stage_with(shape, Some(&json!({"startup": {"calls_per_s": 20}})), 13);
+    let clients = stage.clients(13);
+    let last = (0..6).fold(0, |_, item| stage.purge(item));
+    stage.history.until("all are told", 8, |seen| matches!(seen, Seen::Told(_, n) if *n == last));
+    stage.served("answers before", 100);
+    // It returns with another list under low numbers.
+    stage.list.set(Mode::Down);
+    stage.list.forget();
+    let whole = stage.list_all(&[(1, State::Draining)]);
+    let back = stage.history.now();
+    stage.list.set(Mode::Serves);
+    let told = |seen: &Seen| matches!(seen, Seen::Told(_, n) if *n == whole);
+    let before = stage.history.moments(told).iter().filter(|at| **at < back).count();
+    let at = stage.history.until("all are told of the new list", before + 8, told);
+    assert!(at - back < 15 * S, "after {:?}", at - back);
+    std::thread::sleep(S);
+    let heeds = stage.history.now();
+    stage.served("answers after", 300);
+    assert_eq!(to_cache_by(&stage, 1, &(0..8).collect::<Vec<_>>(), heeds), 0, "the new list is heeded");
+    clients.end();
+    // Numbers stand for other events now: what was told cannot be held against anybody, the rest can.
+    let broken = stage.breaches().into_iter().filter(|b| !["drain", "purge"].contains(&b.rule)).count();
+    assert_eq!((broken, stage.fleet.dead()), (0, vec![]));
+}
--- a/rig/src/list.rs
+++ b/rig/src/list.rs
@@ -197,7 +197,9 @@
             continue;
         }
         if Instant::now() >= due {
-            socket.write_all(&[&9u32.to_be_bytes()[..], &last.to_be_bytes(), &[0]].concat())?;
+            // It names its own last event, whatever the front holds.
+            let own = FIRST - 1 + hand.told.lock().expect("no holder panics").0.len() as u64;
+            socket.write_all(&[&9u32.to_be_bytes()[..], &own.to_be_bytes(), &[0]].concat())?;
             due = Instant::now() + FRAME;
         }
         // A front says nothing more: what can be read is its end.
--- a/rig/src/nodes.rs
+++ b/rig/src/nodes.rs
@@ -31,6 +31,8 @@
     Faults,
     /// It answers what nobody can read.
     Garbage,
+    /// It takes a request, runs it, and breaks the connection.
+    Breaks,
     /// It sends half of each answer.
     Torn,
     /// It answers twice, and answers what was given up as well.
@@ -384,6 +386,7 @@
             Mood::Silent | Mood::Frozen | Mood::Dead => return,
             Mood::Full => Some(Word::Full),
             Mood::Faults => Some(Word::Fault),
+            Mood::Breaks => return self.drop(key, true),
             Mood::Garbage => {
                 link.output.extend(b"+OK\r\n");
                 return self.flush(key);
--- a/rig/src/script.rs
+++ b/rig/src/script.rs
@@ -111,6 +111,7 @@
                         Mood::Faults,
                         Mood::Garbage,
                         Mood::Torn,
+                        Mood::Breaks,
                         Mood::Stubborn,
                         Mood::Dead,
                     ];
--- a/rig/src/stage.rs
+++ b/rig/src/stage.rs
@@ -213,6 +213,12 @@
         self.list.tell(Event::Nodes(false, vec![self.listed[place]]))
     }
 
+    /// The list service tells of all nodes, some of them in other states.
+    pub fn list_all(&mut self, states: &[(usize, State)]) -> u64 {
+        states.iter().for_each(|(place, state)| self.listed[*place].state = *state);
+        self.list.tell(Event::Nodes(true, self.listed.clone()))
+    }
+
     /// The list service tells that an object is purged now.
     pub fn purge(&self, item: u64) -> u64 {
         let at_ms = crate::nodes::wall_ms();
--- a/startup/src/calls.rs
+++ b/startup/src/calls.rs
@@ -115,6 +115,16 @@
         now + (allowed as f64 * (1.0 - SPREAD + 2.0 * SPREAD * self.roll())) as Span
     }
 
+    /// Whether a budget is set: the service is not the platform's.
+    pub fn budgeted(&self) -> bool {
+        self.budget.is_some()
+    }
+
+    /// Whether something whole was heard on this connection.
+    pub fn spoke(&self) -> bool {
+        self.first.is_some()
+    }
+
     /// Whether the service fails: more than a break that was mended at once.
     pub fn fails(&self) -> bool {
         self.failures > 1
