Add an emulator of large fleets: calls on the list service and connections to nodes, with plots

Need: how calls and connections grow with the fleet, past what one machine runs as processes.

Change: emulator/, the cores of startup/ as they ship on a virtual clock against a list service that is a queue (it spends its time on calls that were given up, too) and cache nodes that count connections. cranesill-emulator cold-start prints JSON lines and draws plots by a library; make emulate. Tests: a thousand seeds of 40 fronts keep budget and bound, a service with room for few is kept down without a budget and by doubling in step, connections follow the budget.

--- a/Makefile
+++ b/Makefile
@@ -49,3 +49,21 @@
 measure-startup: build
 	cargo run --release --locked -p cranesill-front --example measure-startup -- 60
 	cargo run --release --locked -p cranesill-front --example measure-startup -- 300
+
+# Cold start of 300 processes with clients, nodes and the list service: without settings and with those of deploy/fleet.json.
+.PHONY: rig-300
+rig-300: build
+	cargo build --release --locked -p cranesill-front --example measure-cold
+	target/release/examples/measure-cold 300 50 100
+	target/release/examples/measure-cold 300 50 100 deploy/fleet.json
+	target/release/examples/measure-cold 100 150 10
+	target/release/examples/measure-cold 100 150 10 deploy/fleet.json
+
+# Faults by the dice on several processes, more seeds than the tests take.
+.PHONY: rig-seeds
+rig-seeds:
+	CRANESILL_SEEDS=$$(seq -s, 1 40) cargo test --locked -p cranesill-front --test partial dice
+
+.PHONY: emulate
+emulate:
+	cargo run --release --locked -p cranesill-emulator -- cold-start --room 2000 --out docs/design/cold-start
--- /dev/null
+++ b/emulator/src/lib.rs
@@ -0,0 +1,20 @@
+//! Large fleets on a virtual clock: the project's cores, as they ship, against modelled services.
+//!
+//! The list service is a queue that is slower the more it is asked: it spends its time on calls whose callers have gone as well.
+//! Cache nodes count the connections that come to them. All follows from a seed.
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
+
+mod dice;
+mod lists;
+mod nodes;
+mod plot;
+
+pub use lists::{Outage, Return, Way};
+pub use nodes::{handshakes, Dials, Use};
+pub use plot::{draw, Line};
+
+/// A moment or span on the virtual clock, in microseconds.
+pub type Time = u64;
+/// A second.
+pub const S: Time = 1_000_000;
