Let fronts hold the list for one another while the list service is not heard

Design: pull from peers. A front that does not hear the service asks three others a round (startup::Peers, without input or output), at first before it calls the service; the answer is the text of the list on disk, or nothing if none is newer. Bounds: 16 askers, 2 MB, 1.5 s an exchange, peers that fail rest. With peers the first call of a front waits for its place. Way not taken: a tree of relays: quicker, but a half-dead relay keeps its whole branch behind until somebody notices, and who relays is a duty, which comes with the leases.

Off without startup.peers. cranesill ctl peers shows served, offered, taken and the age.

Stories: 30 fronts with two calls a second hold a list within 10 s of the service's return for at most 24 calls, 10 and more of them by peers; peers that lie about a number with all nodes draining, say a byte each 100 ms, never end or break off are not taken from, good ones are.

--- a/daemon/src/check.rs
+++ b/daemon/src/check.rs
@@ -1,5 +1,5 @@
 //! Reads the file and finds its faults: by the schema first, then what no schema can say, section by section.
-use crate::types::{Certs, Challenge, Daemon, Purges, Tls};
+use crate::types::{Certs, Challenge, Daemon, Purges, Startup, Tls};
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use std::collections::HashMap;
@@ -49,6 +49,12 @@
     if let Some(certs) = &certs {
         check_certs(certs, value.get("tls").is_some(), &mut faults);
     }
+    if let Some(peers) = section::<Startup>(&value, "startup").and_then(|startup| startup.peers) {
+        address(&peers.listen, "$.startup.peers.listen", &mut faults);
+        for (n, at) in peers.ask.iter().enumerate() {
+            address(at, &format!("$.startup.peers.ask[{n}]"), &mut faults);
+        }
+    }
     if let Some(purges) = section::<Purges>(&value, "purges") {
         check_purges(&purges, &mut faults);
     }
--- a/daemon/src/types.rs
+++ b/daemon/src/types.rs
@@ -68,6 +68,41 @@
     /// A list on disk that is older than this is not served from.
     #[schemars(range(min = 1, max = 86_400))]
     pub serve_snapshot_s: u64,
+    /// A name of the list, the same for all that follow it; absent: the address of the list service.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    #[schemars(with = "String")]
+    pub list: Option<String>,
+    /// The list from one another while the service is not heard; absent: off.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    #[schemars(with = "Peers")]
+    pub peers: Option<Peers>,
+}
+
+/// Fronts that hold the same list.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Peers {
+    /// Address and port at which others ask this front.
+    pub listen: String,
+    /// Where others are asked; this front's own address among them is passed over.
+    #[schemars(length(max = 2_000))]
+    pub ask: Vec<String>,
+    /// A list is taken once so many offer the same.
+    #[serde(default = "two")]
+    #[schemars(range(min = 1, max = 3))]
+    pub agree: usize,
+    /// Pause between two rounds, in each of which three are asked.
+    #[serde(default = "two_seconds")]
+    #[schemars(range(min = 100, max = 600_000))]
+    pub every_ms: u64,
+}
+
+fn two() -> usize {
+    2
+}
+
+fn two_seconds() -> u64 {
+    2_000
 }
 
 impl Default for Startup {
@@ -83,6 +118,8 @@
             ready_spread_ms: 0,
             snapshots: None,
             serve_snapshot_s: 600,
+            list: None,
+            peers: None,
         }
     }
 }
--- a/emulator/src/lists.rs
+++ b/emulator/src/lists.rs
@@ -144,7 +144,7 @@
         let mut steps: BinaryHeap<Reverse<(Time, Step)>> = BinaryHeap::new();
         for (front, caller) in fronts.iter_mut().enumerate() {
             let first = match caller {
-                Caller::Core(calls) => calls.first(0),
+                Caller::Core(calls) => calls.first(0, false),
                 Caller::Doubling { random, .. } => {
                     if *random {
                         dice.below(FIRST)
--- a/front/src/program/config.rs
+++ b/front/src/program/config.rs
@@ -113,12 +113,14 @@
             6 + p.serve.as_ref().map_or(0, |_| super::drivers::purges::replicas::FOLLOWERS_MOST)
         }) + boxes.map_or(0, |b| b.connections_most);
         let ops = self.ops.map_or(0, |_| super::drivers::ops::CALLERS_MOST + 1);
-        let own = tls + control + certs + purges;
+        let peers = daemon.startup.as_ref().and_then(|s| s.peers.as_ref());
+        let peers = peers.map_or(0, |_| super::drivers::peers::ASKERS_MOST + 4);
+        let own = tls + control + certs + purges + peers;
         self.reserved = own + ops;
         let most = self.sockets / 4;
         if own > most {
             return Err(format!(
-                "$.tls.handshakes_most: control, tls, certs and purges would take {own} descriptors, and {most} of {} are \
+                "$.tls.handshakes_most: control, tls, certs, purges and peers would take {own} descriptors, and {most} of {} are \
                  for them",
                 self.sockets
             ));
--- a/front/src/program/drivers/effect.rs
+++ b/front/src/program/drivers/effect.rs
@@ -1,6 +1,7 @@
 //! What drivers bring about for others, by the subsystem that it concerns.
 use super::served::{Proof, Table};
 use crate::protocol::feed::News;
+use crate::protocol::snapshot::Snapshot;
 use crate::transport::Registered;
 use cranesill_purges::matching::{Mark, Set};
 use cranesill_purges::Purge;
@@ -21,6 +22,10 @@
     Heard(u64, News),
     /// Nothing new, and the list service says so.
     Current,
+    /// So many peers offer this list that it may be taken.
+    Offered(Box<Snapshot>),
+    /// It was taken: it is what is known from now on, and as old as it is.
+    Taken(Box<Snapshot>),
     /// A member served what it had been asked not to.
     Lied(u64),
     /// Of TLS and certificates.
--- a/front/src/program/drivers/mod.rs
+++ b/front/src/program/drivers/mod.rs
@@ -5,6 +5,7 @@
 pub mod control;
 mod effect;
 pub mod ops;
+pub mod peers;
 pub mod purges;
 mod served;
 pub mod snapshot;
--- /dev/null
+++ b/front/src/program/drivers/peers.rs
@@ -0,0 +1,282 @@
+//! The list from one another. A front serves what it holds to those that ask, and asks a few while it does not hear the list
+//! service. An asker writes the number of its last event, 8 bytes; what comes back is the text of the list as it is kept on
+//! disk, or nothing if there is none newer, and the end.
+use super::snapshot::wall_ms;
+use super::{Driver, Effect, Turn};
+use crate::protocol::snapshot::{Snapshot, BYTES_MOST};
+use crate::transport::{dial, listen, Outgoing, Registered, Stream};
+use cranesill::api::{Span, Time};
+use cranesill_daemon::Peers as Settings;
+use cranesill_startup::{judge, Dated, Peers as Core};
+use serde_json::json;
+use std::collections::HashMap;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+
+/// Askers at once; one more is closed.
+pub const ASKERS_MOST: usize = 16;
+/// An exchange takes no longer than this, on either end: one that is slow by the byte is given up.
+const EXCHANGE_MOST: Span = 1_500_000;
+/// Without a word of the service for this long others are asked.
+const UNHEARD: Span = 1_000_000;
+const READ_MOST: usize = 64 * 1024;
+const HELLO: usize = 8;
+
+struct Asker {
+    stream: Stream<()>,
+    until: Time,
+    answered: bool,
+}
+
+struct Asked {
+    peer: usize,
+    stream: Stream<()>,
+    until: Time,
+    /// The number of the last event that was held when it was asked.
+    held: u64,
+}
+
+/// The driver.
+pub struct Peers {
+    listener: Registered<TcpListener>,
+    listener_key: usize,
+    peers: Vec<SocketAddr>,
+    core: Core,
+    known: Snapshot,
+    purge_ms: u64,
+    serve_ms: u64,
+    askers: HashMap<usize, Asker>,
+    asked: HashMap<usize, Asked>,
+    scratch: Vec<u8>,
+    /// When the service was last heard.
+    heard: Option<Time>,
+    /// For operators: lists served, rounds, lists offered and taken, peers that failed.
+    served: u64,
+    offered: u64,
+    taken: u64,
+    failed: u64,
+}
+
+impl Peers {
+    /// Listens; `known` is what is held at the start.
+    pub fn new(
+        turn: &mut Turn<'_>,
+        settings: &Settings,
+        known: Snapshot,
+        seed: u64,
+        (purge_ms, serve_ms): (u64, u64),
+    ) -> Result<Self, String> {
+        let address = |text: &str, path: &str| {
+            text.parse::<SocketAddr>().map_err(|e| format!("startup.peers.{path}: {text}: {e}"))
+        };
+        let own = address(&settings.listen, "listen")?;
+        let all = settings.ask.iter().map(|text| address(text, "ask")).collect::<Result<Vec<_>, _>>()?;
+        let peers: Vec<_> = all.into_iter().filter(|at| *at != own).collect();
+        let failed = |e: io::Error| format!("startup.peers.listen: {own}: {e}");
+        let listener_key = turn.key();
+        let listener =
+            listen(own).and_then(|l| turn.reactor.watch(l, listener_key, false)).map_err(failed)?;
+        tracing::info!(at = %own, peers = peers.len(), "the list is served to peers");
+        let core = Core::new(turn.now, peers.len(), settings.agree, settings.every_ms * 1_000, seed);
+        Ok(Peers {
+            listener,
+            listener_key,
+            peers,
+            core,
+            known,
+            purge_ms,
+            serve_ms,
+            askers: HashMap::new(),
+            asked: HashMap::new(),
+            scratch: vec![0; READ_MOST],
+            heard: None,
+            served: 0,
+            offered: 0,
+            taken: 0,
+            failed: 0,
+        })
+    }
+
+    fn accept(&mut self, turn: &mut Turn<'_>) {
+        while let Ok((socket, _)) = self.listener.accept() {
+            if self.askers.len() >= ASKERS_MOST {
+                continue;
+            }
+            let key = turn.key();
+            if let Ok(stream) = Stream::new(turn.reactor, socket, key, false) {
+                let until = turn.now + EXCHANGE_MOST;
+                self.askers.insert(key, Asker { stream, until, answered: false });
+            }
+        }
+    }
+
+    /// Goes on with an asker. An error: it is done with, or of no use.
+    fn serve(&mut self, key: usize) -> io::Result<()> {
+        let Some(asker) = self.askers.get_mut(&key) else { return Ok(()) };
+        while let Some(n) = asker.stream.fill(&mut self.scratch)? {
+            if n == 0 || asker.stream.input().len() > HELLO {
+                return Err(io::ErrorKind::InvalidData.into());
+            }
+        }
+        let hello: Option<[u8; HELLO]> = asker.stream.input().try_into().ok();
+        if let Some(held) = hello.filter(|_| !asker.answered).map(u64::from_be_bytes) {
+            asker.answered = true;
+            if let Some(text) = Some(&self.known).filter(|k| k.number > held).and_then(Snapshot::text) {
+                self.served += 1;
+                asker.stream.push(Outgoing { tag: (), head: text.into(), body: Rc::default(), tail: b"" });
+            }
+        }
+        asker.stream.flush(|()| {})?;
+        asker.stream.rewatch(true)?;
+        if asker.answered && asker.stream.flushed() {
+            return Err(io::ErrorKind::WriteZero.into());
+        }
+        Ok(())
+    }
+
+    fn ask(&mut self, turn: &mut Turn<'_>, peer: usize) {
+        let key = turn.key();
+        match dial(self.peers[peer]).and_then(|socket| Stream::new(turn.reactor, socket, key, true)) {
+            Ok(mut stream) => {
+                let held = self.known.number;
+                let head = held.to_be_bytes().to_vec();
+                stream.push(Outgoing { tag: (), head, body: Rc::default(), tail: b"" });
+                self.asked.insert(key, Asked { peer, stream, until: turn.now + EXCHANGE_MOST, held });
+            }
+            Err(_) => self.core.failed(turn.now, peer),
+        }
+    }
+
+    /// Goes on with a peer that was asked. `true`: all has come that it has to say.
+    fn hear(&mut self, key: usize) -> io::Result<bool> {
+        let Some(asked) = self.asked.get_mut(&key) else { return Ok(false) };
+        if !asked.stream.connected()? {
+            return Ok(false);
+        }
+        if !asked.stream.flushed() {
+            asked.stream.flush(|()| {})?;
+            asked.stream.rewatch(true)?;
+        }
+        while let Some(n) = asked.stream.fill(&mut self.scratch)? {
+            if n == 0 {
+                return Ok(true);
+            }
+            if asked.stream.input().len() > BYTES_MOST {
+                return Err(io::ErrorKind::InvalidData.into());
+            }
+        }
+        Ok(false)
+    }
+
+    fn said(&mut self, turn: &mut Turn<'_>, asked: &Asked) {
+        let (peer, text) = (asked.peer, asked.stream.input());
+        if text.is_empty() {
+            return self.core.nothing(peer);
+        }
+        let judged = Snapshot::read(text).map_err(str::to_string).and_then(|list| {
+            let dated = Dated { source: list.source, number: list.number, at_ms: list.at_ms };
+            let held = asked.held.max(self.known.number);
+            let good = judge(wall_ms(), dated, self.known.source, held, self.serve_ms);
+            good.map_err(|why| why.to_string()).map(|()| list)
+        });
+        match judged {
+            Ok(list) => {
+                self.offered += 1;
+                if self.core.offered(turn.now, peer, self.known.number, list.number, list.digest()) {
+                    turn.effects.push(Effect::Offered(Box::new(list)));
+                }
+            }
+            Err(why) => {
+                let at = self.peers[peer];
+                tracing::info!(kind = "peer", why, %at, "a peer's list is left aside");
+                self.lost(turn.now, peer);
+            }
+        }
+    }
+
+    fn lost(&mut self, now: Time, peer: usize) {
+        self.failed += 1;
+        self.core.failed(now, peer);
+    }
+}
+
+impl Driver for Peers {
+    fn ready(&mut self, turn: &mut Turn<'_>, key: usize, _: bool, _: bool) {
+        if key == self.listener_key {
+            return self.accept(turn);
+        }
+        if self.askers.contains_key(&key) {
+            if self.serve(key).is_err() {
+                self.askers.remove(&key);
+            }
+            return;
+        }
+        match self.hear(key) {
+            Ok(false) => {}
+            Ok(true) => {
+                if let Some(asked) = self.asked.remove(&key) {
+                    self.said(turn, &asked);
+                }
+            }
+            Err(_) => {
+                if let Some(asked) = self.asked.remove(&key) {
+                    self.lost(turn.now, asked.peer);
+                }
+            }
+        }
+    }
+
+    fn due(&mut self, turn: &mut Turn<'_>) {
+        let now = turn.now;
+        self.askers.retain(|_, asker| asker.until > now);
+        let late: Vec<_> = self.asked.iter().filter(|(_, a)| a.until <= now).map(|(key, _)| *key).collect();
+        for key in late {
+            if let Some(asked) = self.asked.remove(&key) {
+                self.lost(now, asked.peer);
+            }
+        }
+        if now >= self.core.next() {
+            let asked = self.core.ask(now);
+            let unheard = self.heard.is_none_or(|at| now >= at + UNHEARD);
+            for peer in asked.into_iter().filter(|_| unheard) {
+                self.ask(turn, peer);
+            }
+        }
+    }
+
+    fn next(&self) -> Option<Time> {
+        let ends = self.askers.values().map(|a| a.until).chain(self.asked.values().map(|a| a.until));
+        ends.chain([self.core.next()]).min()
+    }
+
+    fn told(&mut self, turn: &mut Turn<'_>, effect: &Effect) {
+        match effect {
+            Effect::Heard(number, news) => {
+                self.heard = Some(turn.now);
+                let now = wall_ms();
+                self.known.take(*number, now, now.saturating_sub(self.purge_ms), news);
+            }
+            Effect::Current => {
+                self.heard = Some(turn.now);
+                self.known.at_ms = wall_ms();
+            }
+            Effect::Taken(list) => {
+                self.taken += 1;
+                self.known = Snapshot::clone(list);
+            }
+            Effect::Word(number, word, _) if word == "peers" => {
+                let shown = json!({
+                    "last_event": self.known.number, "known_ms_ago": wall_ms().saturating_sub(self.known.at_ms),
+                    "served": self.served, "offered": self.offered, "taken": self.taken, "failed": self.failed,
+                });
+                turn.effects.push(Effect::Answer(*number, Ok(shown)));
+            }
+            _ => {}
+        }
+    }
+
+    fn words(&self) -> Vec<(&'static str, &'static str)> {
+        vec![("peers", "the list from one another: served, offered, taken, and how old it is")]
+    }
+}
--- a/front/src/program/drivers/snapshot.rs
+++ b/front/src/program/drivers/snapshot.rs
@@ -19,6 +19,11 @@
 /// Purges are kept this much longer than members may hold older copies.
 const PURGE_SLACK_MS: u64 = 2_000;
 
+/// For how long purges are kept, where members may hold older copies for `takes`.
+pub fn purge_ms(takes: Span) -> u64 {
+    takes / 1_000 + PURGE_SLACK_MS
+}
+
 /// Unix milliseconds.
 pub fn wall_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
@@ -94,7 +99,7 @@
     pub fn new(turn: &mut Turn<'_>, path: PathBuf, known: Snapshot, purge: Span) -> Result<Self, String> {
         let key = turn.key();
         let workers = Workers::new(turn.reactor, key).map_err(|e| format!("startup.snapshots: {e}"))?;
-        let purge_ms = purge / 1_000 + PURGE_SLACK_MS;
+        let purge_ms = purge_ms(purge);
         Ok(Snapshots {
             path,
             known,
@@ -153,6 +158,10 @@
                 self.known.at_ms = wall_ms();
                 self.dirty = self.known.number > 0;
             }
+            Effect::Taken(list) => {
+                self.known = Snapshot::clone(list);
+                self.dirty = true;
+            }
             _ => {}
         }
     }
--- a/front/src/program/feed.rs
+++ b/front/src/program/feed.rs
@@ -38,8 +38,8 @@
 
 impl Feed {
     /// Is not connected yet: that is due soon.
-    pub fn new(now: Time, address: SocketAddr, last: u64, mut calls: Calls) -> Self {
-        let (scratch, due) = (vec![0; READ_MOST], calls.first(now));
+    pub fn new(now: Time, address: SocketAddr, last: u64, mut calls: Calls, others: bool) -> Self {
+        let (scratch, due) = (vec![0; READ_MOST], calls.first(now, others));
         Feed {
             address,
             last,
@@ -69,6 +69,11 @@
         self.stream.as_ref().is_some_and(|s| s.0 == key)
     }
 
+    /// What others told stands for all events up to this one.
+    pub fn skip_to(&mut self, number: u64) {
+        self.last = self.last.max(number);
+    }
+
     /// The feed is elsewhere from now on: what comes after the last event held is asked for there at once.
     pub fn move_to(&mut self, now: Time, address: SocketAddr) {
         (self.address, self.stream, self.due) = (address, None, now);
@@ -182,7 +187,7 @@
     fn a_feed_that_stops_in_the_middle_of_an_event_is_given_up() {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
         let mut reactor = Reactor::new().unwrap();
-        let mut feed = Feed::new(0, listener.local_addr().unwrap(), 7, Calls::new(0, (0, 3), 1, None));
+        let mut feed = Feed::new(0, listener.local_addr().unwrap(), 7, Calls::new(0, (0, 3), 1, None), false);
         assert!(feed.due <= 200_000);
         feed.go(0, &reactor, 5);
         assert!(feed.due <= 1_000_000, "a connection that never comes up is given up soon");
--- a/front/src/program/serve.rs
+++ b/front/src/program/serve.rs
@@ -4,8 +4,9 @@
 use super::drivers::certs::Certs;
 use super::drivers::control::Control;
 use super::drivers::ops::Ops;
+use super::drivers::peers::Peers;
 use super::drivers::purges::{what, Purges};
-use super::drivers::snapshot::Snapshots;
+use super::drivers::snapshot::{purge_ms, wall_ms, Snapshots};
 use super::drivers::tls::Tls;
 use super::drivers::{slot_of, Driver, Effect, Purging, Secured, Turn};
 use super::feed::Feed;
@@ -152,11 +153,12 @@
         let limits = config.deployment.limits.clone();
         let Known { last, news, list } = known(&mut config, daemon.startup.as_ref());
         let calls = calls(clock.now(), &config, daemon.startup.as_ref());
+        let others = daemon.startup.as_ref().is_some_and(|s| s.peers.is_some());
         let startup = Startup::new(clock.now(), &config, daemon.startup.as_ref());
         let mut server = Server {
             front: Front::new(config.deployment.clone(), config.seed, config.room()),
             members: Members::new(config.links_most(), limits.streams, limits.idle),
-            feed: Feed::new(clock.now(), config.feed, last, calls),
+            feed: Feed::new(clock.now(), config.feed, last, calls, others),
             startup,
             hears: false,
             clients: Clients::new(),
@@ -186,7 +188,8 @@
         tracing::info!(name = server.config.name, %at, "listening");
         server.drivers(now, list)?;
         news.into_iter().for_each(|news| server.news(now, news));
-        server.hears = server.daemon.startup.as_ref().is_some_and(|s| s.snapshots.is_some());
+        server.hears =
+            server.daemon.startup.as_ref().is_some_and(|s| s.snapshots.is_some() || s.peers.is_some());
         server.take_over(now, true);
         server.look(now);
         server.get_ready(now);
@@ -213,8 +216,13 @@
         if let Some(purges) = daemon.purges {
             self.start(now, |turn| Ok(Box::new(Purges::new(turn, &purges, &kinds)?)))?;
         }
-        if let Some((path, _)) = snapshots(&self.config, daemon.startup.as_ref()) {
-            let purge = self.config.deployment.settings.purge_done;
+        let purge = self.config.deployment.settings.purge_done;
+        if let Some((startup, peers)) = daemon.startup.as_ref().and_then(|s| Some((s, s.peers.as_ref()?))) {
+            let (known, seed) = (list.clone(), self.config.seed);
+            let times = (purge_ms(purge), startup.serve_snapshot_s * 1_000);
+            self.start(now, |turn| Ok(Box::new(Peers::new(turn, peers, known, seed, times)?)))?;
+        }
+        if let Some(path) = snapshots(&self.config, daemon.startup.as_ref()) {
             self.start(now, |turn| Ok(Box::new(Snapshots::new(turn, path, list, purge)?)))?;
         }
         if let Some(control) = daemon.control {
@@ -255,6 +263,7 @@
                     Effect::Secured(Secured::Client(socket, connection)) => {
                         self.secured(now, socket, *connection)
                     }
+                    Effect::Offered(list) => self.take_list(now, list),
                     Effect::Purges(news) if !matches!(news, Purging::Compile(_)) => {
                         self.effects.extend(floors::take(&mut self.front, now, news));
                     }
@@ -755,6 +764,28 @@
         self.settle(now, Vec::new());
     }
 
+    /// Takes over a list that peers hold, unless the service is heard or has told as much.
+    fn take_list(&mut self, now: Time, list: Box<Snapshot>) {
+        if self.feed.heard() || list.number <= self.feed.stands().1 {
+            return;
+        }
+        let (event, age_ms) = (list.number, wall_ms().saturating_sub(list.at_ms));
+        tracing::info!(
+            kind = "list",
+            event,
+            age_ms,
+            members = list.members.len(),
+            "the list is taken from peers"
+        );
+        self.feed.skip_to(list.number);
+        // It does not grow younger by being taken.
+        self.hears = false;
+        list.news().into_iter().for_each(|news| self.news(now, news));
+        self.hears = true;
+        self.effects.push(Effect::Taken(list));
+        self.effects(now);
+    }
+
     /// Takes over what the list says of members; `whole`: of all that are in use.
     fn take_members(&mut self, now: Time, whole: bool, list: Vec<Listing>) {
         let mut ends = Vec::new();
--- a/front/src/program/startup.rs
+++ b/front/src/program/startup.rs
@@ -23,14 +23,19 @@
     (config.deployment.settings.number, config.deployment.settings.routers)
 }
 
-/// Where the list is kept on disk, and which list it is; `None`: it is not.
-pub fn snapshots(config: &Config, settings: Option<&Settings>) -> Option<(PathBuf, u64)> {
+/// Where the list is kept on disk; `None`: it is not.
+pub fn snapshots(config: &Config, settings: Option<&Settings>) -> Option<PathBuf> {
     let folder = settings.filter(|_| config.accept_fd.is_none())?.snapshots.as_ref()?;
+    Some(path(folder, &config.name))
+}
+
+/// Which list a front follows.
+fn source(config: &Config, settings: Option<&Settings>) -> u64 {
     // Records refer to places in these lists.
     let names = &config.deployment.names;
-    let of = format!("{} {:?} {:?}", config.feed, names.zones, names.kinds);
-    let source = u64::from(crc32fast::hash(of.as_bytes()));
-    Some((path(folder, &config.name), source))
+    let named = settings.and_then(|s| s.list.clone()).unwrap_or_else(|| config.feed.to_string());
+    let of = format!("{named} {:?} {:?}", names.zones, names.kinds);
+    crc32fast::hash(of.as_bytes()).into()
 }
 
 /// What a front knows at its start.
@@ -47,13 +52,13 @@
 pub fn known(config: &mut Config, settings: Option<&Settings>) -> Known {
     let (last, mut news) = std::mem::take(&mut config.known);
     let serve_ms = settings.map_or(0, |s| s.serve_snapshot_s * 1_000);
-    let kept = snapshots(config, settings);
-    let found = kept.as_ref().and_then(|(path, source)| load(path, *source, last, serve_ms));
+    let source = source(config, settings);
+    let found = snapshots(config, settings).and_then(|path| load(&path, source, last, serve_ms));
     if let Some(list) = found {
         news.extend(list.news());
         return Known { last: list.number, news, list };
     }
-    let mut list = Snapshot { source: kept.map_or(0, |(_, source)| source), ..Snapshot::default() };
+    let mut list = Snapshot { source, ..Snapshot::default() };
     news.iter().for_each(|one| list.take(last, wall_ms(), 0, one));
     Known { last, news, list }
 }
--- a/front/src/protocol/snapshot.rs
+++ b/front/src/protocol/snapshot.rs
@@ -59,15 +59,7 @@
         if self.purges.len() > PURGES_MOST {
             return None;
         }
-        let mut body = format!("from {:016x} {} {}\n", self.source, self.number, self.at_ms);
-        for m in self.members.values() {
-            let state = u8::from(m.state == Listed::Draining);
-            let weight = (m.weight * 1e3).round() as u64;
-            body += &format!(
-                "m {:08x} {} {state} {} {} {} {weight} {}\n",
-                m.id, m.address, m.zone, m.kind, m.cell, m.started_ms
-            );
-        }
+        let mut body = format!("from {:016x} {} {}\n", self.source, self.number, self.at_ms) + &self.lines();
         for (object, group, at_ms) in &self.purges {
             body += &match object {
                 Some(object) => format!("o {object:016x} {at_ms}\n"),
@@ -78,6 +70,26 @@
         Some(text).filter(|text| text.len() <= BYTES_MOST)
     }
 
+    /// By this two lists with the same last event are told apart. Purges are not in it: which of them are over depends on the
+    /// moment.
+    pub fn digest(&self) -> u64 {
+        crc32fast::hash(self.lines().as_bytes()).into()
+    }
+
+    /// A line for each member.
+    fn lines(&self) -> String {
+        let mut body = String::new();
+        for m in self.members.values() {
+            let state = u8::from(m.state == Listed::Draining);
+            let weight = (m.weight * 1e3).round() as u64;
+            body += &format!(
+                "m {:08x} {} {state} {} {} {} {weight} {}\n",
+                m.id, m.address, m.zone, m.kind, m.cell, m.started_ms
+            );
+        }
+        body
+    }
+
     /// Reads it. The error says why it is as if absent.
     pub fn read(text: &[u8]) -> Result<Self, &'static str> {
         if text.len() > BYTES_MOST {
--- a/front/tests/partial.rs
+++ b/front/tests/partial.rs
@@ -339,3 +339,145 @@
     let broken = stage.breaches().into_iter().filter(|b| !["drain", "purge"].contains(&b.rule)).count();
     assert_eq!((broken, stage.fleet.dead()), (0, vec![]));
 }
+
+/// Settings of fronts that hold the list for one another, on addresses that nobody else uses.
+fn peers(fronts: usize, more: &[String], calls_per_s: u32) -> Value {
+    // All of 127/8 is this machine; what it dials from is 127.0.0.1.
+    static FLEETS: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
+    let fleet = FLEETS.fetch_add(1, std::sync::atomic::Ordering::SeqCst);
+    let host =
+        format!("127.{}.{}.{}", 64 + std::process::id() % 64, 1 + std::process::id() / 64 % 250, 1 + fleet);
+    let mut ask: Vec<String> = (0..fronts).map(|n| format!("{host}:2{n:04}")).collect();
+    ask.extend_from_slice(more);
+    json!({"startup": {
+        "calls_per_s": calls_per_s, "wait_most_ms": 600_000, "list": "main",
+        "peers": {"listen": format!("{host}:2{{nnnn}}"), "ask": ask, "every_ms": 500}
+    }})
+}
+
+fn taken(stage: &Stage, front: usize) -> bool {
+    stage.fleet.log(front).contains("the list is taken from peers")
+}
+
+#[test]
+fn a_list_that_two_fronts_hold_is_soon_with_all_and_costs_the_service_a_few_calls() {
+    // 30 fronts that call twice a second in all need 15 s to be served by the service itself.
+    let shape = Shape { fronts: 30, caches: 4, parents: 2, sides: 0 };
+    let mut stage = stage_with(shape, Some(&peers(30, &[], 2)), 21);
+    stage.list.set(Mode::Down);
+    let clients = stage.clients(21);
+    stage.served("answers without the service", 100);
+    // What it will tell once it is back.
+    stage.list(1, State::Draining);
+    std::thread::sleep(2 * S);
+    let back = stage.history.now();
+    stage.list.set(Mode::Serves);
+    let told = |stage: &Stage, front: usize| {
+        stage.history.count(|s| matches!(s, Seen::Told(by, _) if *by == front)) > 0
+    };
+    let until = back + 30 * S;
+    while !(0..30).all(|front| told(&stage, front) || taken(&stage, front)) {
+        assert!(stage.history.now() < until, "not all hold the list");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let all = stage.history.now();
+    let calls = stage.history.count(|seen| matches!(seen, Seen::Call));
+    let by_peers = (0..30).filter(|front| taken(&stage, *front)).count();
+    assert!(all - back < 10 * S && by_peers >= 10, "{:?}, {by_peers} by peers", all - back);
+    assert!(calls <= 24, "{calls} calls on the service");
+    stage.served("answers after", 200);
+    // Those that have it from peers heed it as if told.
+    let from = stage.history.now();
+    stage.served("more answers", 400);
+    assert_eq!(to_cache_by(&stage, 1, &(0..30).collect::<Vec<_>>(), from), 0);
+    clients.end();
+    stage.keeps_the_rules(21);
+}
+
+/// What a peer of the test says to who asks; the text of a good list is at hand.
+type Liar = Box<dyn Fn(&mut std::net::TcpStream, &str) + Send>;
+
+#[test]
+fn peers_that_lie_are_slow_or_never_end_are_not_taken_from_and_good_ones_are() {
+    use std::io::{Read, Write};
+    let good = std::sync::Arc::new(std::sync::Mutex::new(String::new()));
+    let sealed = |body: String| format!("cranesill list v1 {:08x}\n{body}", crc32fast::hash(body.as_bytes()));
+    let body = |text: &str| text.split_once('\n').map_or("", |found| found.1).to_string();
+    let liars: Vec<Liar> = vec![
+        // A number of the future and all nodes draining, well sealed.
+        Box::new(move |socket, text| {
+            let text = body(text).replacen(" 3 ", " 999 ", 1).replace(" 0 1 0 ", " 1 1 0 ");
+            let _ = socket.write_all(sealed(text).as_bytes());
+        }),
+        Box::new(move |socket, text| {
+            for byte in text.bytes() {
+                std::thread::sleep(Duration::from_millis(100));
+                if socket.write_all(&[byte]).is_err() {
+                    return;
+                }
+            }
+        }),
+        Box::new(|socket, _| while socket.write_all(&[b'x'; 65_536]).is_ok() {}),
+        Box::new(|socket, text| drop(socket.write_all(&text.as_bytes()[..text.len() / 2]))),
+    ];
+    let mut addresses = Vec::new();
+    for liar in liars {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        addresses.push(listener.local_addr().unwrap().to_string());
+        let good = std::sync::Arc::clone(&good);
+        std::thread::spawn(move || {
+            for mut socket in listener.incoming().map_while(Result::ok) {
+                let text = good.lock().unwrap().clone();
+                if socket.read_exact(&mut [0; 8]).is_ok() {
+                    liar(&mut socket, &text);
+                }
+            }
+        });
+    }
+    let shape = Shape { fronts: 6, caches: 4, parents: 2, sides: 0 };
+    let settings = peers(6, &addresses, 50);
+    let ask: Vec<String> = serde_json::from_value(settings["startup"]["peers"]["ask"].clone()).unwrap();
+    let mut stage = stage_with(shape, Some(&settings), 22);
+    let clients = stage.clients(22);
+    stage.purge(9);
+    let last = stage.list(1, State::Draining);
+    assert_eq!(last, 3);
+    let told = |stage: &Stage, front: usize| {
+        stage.history.count(|seen| matches!(seen, Seen::Told(by, n) if *by == front && *n == last)) > 0
+    };
+    let until = std::time::Instant::now() + cranesill_rig::GUARD;
+    while !(0..6).all(|front| told(&stage, front) || taken(&stage, front)) {
+        assert!(std::time::Instant::now() < until, "not all hold the list");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    // The liars learn what a good list looks like.
+    while !good.lock().unwrap().contains(" 3 ") {
+        assert!(std::time::Instant::now() < until, "a front serves its list");
+        let mut socket = std::net::TcpStream::connect(&ask[2]).unwrap();
+        socket.write_all(&[0; 8]).unwrap();
+        let mut text = String::new();
+        socket.read_to_string(&mut text).unwrap();
+        *good.lock().unwrap() = text;
+    }
+    stage.list.set(Mode::Down);
+    stage.kill(&[0, 1]);
+    let had = [0, 1].map(|front| stage.fleet.log(front).matches("the list is taken from peers").count());
+    stage.restart(&[0, 1]);
+    let again = |stage: &Stage, front: usize| {
+        stage.fleet.log(front).matches("the list is taken from peers").count() > had[front]
+    };
+    while !(again(&stage, 0) && again(&stage, 1)) {
+        assert!(std::time::Instant::now() < until, "{}\n{}", stage.fleet.log(0), stage.fleet.log(1));
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let from = stage.history.now();
+    stage.served("answers by the list of peers", 300);
+    assert_eq!(to_cache_by(&stage, 1, &[0, 1], from), 0, "what peers know to drain is left alone");
+    assert!(to_cache_by(&stage, 0, &[0, 1], from) > 0, "and what they know to serve is used");
+    for front in 0..6 {
+        let log = stage.fleet.log(front);
+        assert!(!log.contains("event=999"), "{log}");
+    }
+    clients.end();
+    stage.keeps_the_rules(22);
+}
--- a/rig/src/fleet.rs
+++ b/rig/src/fleet.rs
@@ -11,7 +11,7 @@
 pub struct Fleet {
     binary: PathBuf,
     folder: tempfile::TempDir,
-    settings: Option<PathBuf>,
+    settings: bool,
     processes: Vec<Option<Child>>,
     /// How often each was started.
     starts: Vec<usize>,
@@ -20,7 +20,8 @@
 impl Fleet {
     /// Starts so many processes at once, each with what `config` makes of its number.
     ///
-    /// `settings` are the daemon's own, the same for all; `None`: it is started without.
+    /// `settings` are the daemon's own; `{nnnn}` in them is the number of the process in four digits; `None`: it is started
+    /// without.
     pub fn start(
         binary: &Path,
         count: usize,
@@ -28,17 +29,16 @@
         config: impl Fn(usize) -> Value,
     ) -> Self {
         let folder = tempfile::tempdir().expect("a folder");
-        let own = settings.map(|settings| {
-            let file = folder.path().join("settings.json");
-            std::fs::write(&file, settings.to_string()).expect("a file");
-            file
-        });
         let (binary, starts) = (binary.to_path_buf(), vec![1; count]);
-        let mut fleet = Fleet { binary, folder, settings: own, processes: Vec::new(), starts };
+        let mut fleet = Fleet { binary, folder, settings: settings.is_some(), processes: Vec::new(), starts };
         for n in 0..count {
             let file = std::fs::File::create(fleet.file(n))
                 .and_then(|mut f| f.write_all(config(n).to_string().as_bytes()));
             file.expect("a file");
+            if let Some(settings) = settings {
+                let text = settings.to_string().replace("{nnnn}", &format!("{n:04}"));
+                std::fs::write(fleet.settings_file(n), text).expect("a file");
+            }
         }
         // What is slow is done before: they start in step.
         fleet.processes = (0..count).map(|n| Some(fleet.spawn(n))).collect();
@@ -49,9 +49,16 @@
         self.folder.path().join(format!("{n}.json"))
     }
 
+    fn settings_file(&self, n: usize) -> PathBuf {
+        self.folder.path().join(format!("{n}.settings.json"))
+    }
+
     fn spawn(&self, n: usize) -> Child {
         let mut command = Command::new(&self.binary);
-        command.arg("serve").args(self.settings.iter().flat_map(|file| [Path::new("--settings"), file]));
+        command.arg("serve");
+        if self.settings {
+            command.arg("--settings").arg(self.settings_file(n));
+        }
         command.arg(self.file(n)).stdin(Stdio::null()).stdout(Stdio::null());
         let log = std::fs::File::options()
             .create(true)
--- a/startup/src/calls.rs
+++ b/startup/src/calls.rs
@@ -102,8 +102,13 @@
         ((z ^ (z >> 31)) >> 11) as f64 / (1u64 << 53) as f64
     }
 
-    /// When the first call is made by a front that starts: all of a fleet may start at one moment.
-    pub fn first(&mut self, now: Time) -> Time {
+    /// When the first call is made by a front that starts: all of a fleet may start at one moment. One that learns of the list
+    /// from others meanwhile waits for its place among all.
+    pub fn first(&mut self, now: Time, others: bool) -> Time {
+        if let Some((share, _)) = self.budget.filter(|_| others) {
+            let (number, fronts) = (f64::from(self.place.0), f64::from(self.place.1));
+            return now + AGAIN + (share as f64 * (number + self.roll()) / fronts) as Span;
+        }
         now + (AGAIN as f64 * self.roll()) as Span
     }
 
@@ -207,7 +212,7 @@
     #[test]
     fn calls_are_quick_while_what_was_missed_is_not_taken_for_told_and_rare_afterwards() {
         let mut calls = Calls::new(0, (250, 300), 7, budget());
-        let mut now = calls.first(0);
+        let mut now = calls.first(0, false);
         assert!(now <= AGAIN);
         let (mut quick, mut rare) = (Vec::new(), Vec::new());
         while now < 40 * S {
--- a/startup/src/lib.rs
+++ b/startup/src/lib.rs
@@ -7,11 +7,13 @@
 #![deny(missing_docs)]
 
 mod calls;
+mod peers;
 mod ramp;
 mod ready;
 mod snapshot;
 
 pub use calls::{Budget, Calls, End};
+pub use peers::Peers;
 pub use ramp::{Ramp, Take};
 pub use ready::{Needs, Ready, Waits};
 pub use snapshot::{judge, Aside, Dated};
--- a/startup/tests/fleet.rs
+++ b/startup/tests/fleet.rs
@@ -27,7 +27,7 @@
         .map(|n| Calls::new(0, (n, fronts), seed * 100_000 + u64::from(n), Some(BUDGET)))
         .collect();
     let mut due: BTreeSet<(Time, u32)> = BTreeSet::new();
-    due.extend(calls.iter_mut().zip(0..).map(|(one, n)| (one.first(0), n)));
+    due.extend(calls.iter_mut().zip(0..).map(|(one, n)| (one.first(0, false), n)));
     let (mut made, mut served) = (Vec::new(), vec![None; fronts as usize]);
     while let Some((now, n)) = due.pop_first().filter(|(now, _)| *now < end) {
         let one = &mut calls[n as usize];
