Call the service evenly from the first call on where fronts can ask one another

Cause: in the first half minute 300 processes with 10 calls a second made 24.8: each made one quick second call after its first had failed, as after a break (Calls::end, no failure yet). What was never well has not broken, and the first calls are strewn over the fleet there.

Measured (make measure-startup, service closes for 30 s and returns): 60 processes 9.9 calls a second, 14 in the worst second; 300 processes 9.9 and 12 (without peers 10.9 and 54.7). All hold the list 4.9 s and 8.4 s after its return, half after 2.2 and 5.5 s, for 51 and 87 calls.

--- a/Makefile
+++ b/Makefile
@@ -49,6 +49,8 @@
 measure-startup: build
 	cargo run --release --locked -p cranesill-front --example measure-startup -- 60
 	cargo run --release --locked -p cranesill-front --example measure-startup -- 300
+	cargo run --release --locked -p cranesill-front --example measure-startup -- 60 - peers
+	cargo run --release --locked -p cranesill-front --example measure-startup -- 300 - peers
 
 # Cold start of 300 processes with clients, nodes and the list service: without settings and with those of deploy/fleet.json.
 .PHONY: rig-300
--- a/front/examples/measure-startup.rs
+++ b/front/examples/measure-startup.rs
@@ -1,8 +1,9 @@
 //! Measures what a fleet of processes asks of a list service that closes at once for 30 s and then serves:
-//! `measure-startup [COUNT [PROGRAM [no-budget]]]`, by default 60 processes of the program beside this one with a budget. `make measure-startup` runs it
-//! with 60 and 300; the figures stand in `docs/design/startup.md`.
-use cranesill_rig::{Fleet, History, ListService, Mode, Seen};
-use serde_json::Value;
+//! `measure-startup [COUNT [PROGRAM [no-budget | peers]]]`, by default 60 processes of the program beside this one (`-`) with a budget;
+//! with `peers` they hold the list for one another as well. `make measure-startup` runs it with 60 and 300; the figures
+//! stand in `docs/design/startup.md`.
+use cranesill_rig::{Event, Fleet, History, ListService, Mode, Seen};
+use serde_json::{json, Value};
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -14,25 +15,52 @@
     let beside = || {
         std::env::current_exe().expect("a path").parent().and_then(|p| Some(p.parent()?.join("cranesill")))
     };
-    let program = words.next().map(PathBuf::from).or_else(beside).expect("a program");
+    let program =
+        words.next().filter(|word| word != "-").map(PathBuf::from).or_else(beside).expect("a program");
     let history = History::default();
-    let list = ListService::new(&history, Mode::Closes);
+    let list = ListService::with_doors(&history, Mode::Closes, vec![Vec::new(); count]);
     let base: Value = serde_json::from_str(include_str!("config.json")).expect("an example");
-    let budget = words.next().is_none().then(|| serde_json::json!({"startup": {"calls_per_s": 10}}));
+    let mode = words.next();
+    let peers = mode.as_deref() == Some("peers");
+    let ask: Vec<_> = (0..count).map(|n| format!("127.99.{}.1:2{n:04}", count % 250)).collect();
+    let listen = format!("127.99.{}.1:2{{nnnn}}", count % 250);
+    let budget = match mode.as_deref() {
+        Some("no-budget") => None,
+        Some("peers") => Some(json!({"startup": {"calls_per_s": 10, "wait_most_ms": 60_000, "list": "main",
+            "peers": {"listen": listen, "ask": ask}}})),
+        _ => Some(json!({"startup": {"calls_per_s": 10}})),
+    };
     let mut fleet = Fleet::start(&program, count, budget.as_ref(), |n| {
         let mut config = base.clone();
         config["listen"] = "127.0.0.1:0".into();
-        config["feed"] = list.address.to_string().into();
+        config["feed"] = list.doors[n].to_string().into();
         config["seed"] = format!("{:x}", 0x7d03_u64 + n as u64).into();
         config["settings"]["nInstances"] = count.into();
         config["settings"]["index"] = n.into();
         config
     });
     let call = |seen: &Seen| *seen == Seen::Call;
-    let first = history.until("first calls", count, call);
+    let first = if peers { history.now() } else { history.until("first calls", count, call) };
     std::thread::sleep(30 * S);
     let (from, back) = (first + 4 * S, history.now());
+    list.tell(Event::Purge(1, 1));
     list.set(Mode::Serves);
+    let told = |n: usize| history.count(|seen| matches!(seen, Seen::Told(front, _) if *front == n)) > 0;
+    let taken = |n: usize| fleet.log(n).contains("the list is taken from peers");
+    let mut missing: Vec<usize> = if peers { (0..count).collect() } else { Vec::new() };
+    let mut half = None;
+    while !missing.is_empty() {
+        missing.retain(|n| !told(*n) && !taken(*n));
+        half = half.or_else(|| (missing.len() <= count / 2).then(|| history.now() - back));
+        std::thread::sleep(S / 20);
+    }
+    if peers {
+        let calls = history.moments(call).iter().filter(|at| **at >= back).count();
+        let all = history.now() - back;
+        println!(
+            "{count} processes hold the list after its return: half {half:?}, all {all:?}, for {calls} calls"
+        );
+    }
     let made = history.moments(call).iter().filter(|at| (from..back).contains(at)).count();
     let (second, _) = history.most(from, back, S, call);
     let (tenth, _) = history.most(from, back, S / 10, call);
--- a/startup/src/calls.rs
+++ b/startup/src/calls.rs
@@ -106,6 +106,8 @@
     /// from others meanwhile waits for its place among all.
     pub fn first(&mut self, now: Time, others: bool) -> Time {
         if let Some((share, _)) = self.budget.filter(|_| others) {
+            // The fleet is strewn by this already, and what was never well has not broken: no quick second call.
+            (self.failures, self.spread) = (1, true);
             let (number, fronts) = (f64::from(self.place.0), f64::from(self.place.1));
             return now + AGAIN + (share as f64 * (number + self.roll()) / fronts) as Span;
         }
@@ -182,6 +184,24 @@
 
 #[cfg(test)]
 mod tests {
+    #[test]
+    fn a_fleet_that_has_others_to_ask_calls_evenly_from_the_first_call_on() {
+        let budget = Budget { calls_per_s: 10.0, wait_most: 600_000_000, haste: 0 };
+        let mut all = Vec::new();
+        for n in 0..300 {
+            let mut calls = Calls::new(0, (n, 300), u64::from(n), Some(budget));
+            let mut now = calls.first(0, true);
+            while now < 60_000_000 {
+                all.push(now);
+                calls.begin(now);
+                now = calls.end(now + 1_000, End::Closed);
+            }
+        }
+        assert!((550..=660).contains(&all.len()), "{} calls in a minute", all.len());
+        let second = |from: &Time| all.iter().filter(|at| (*from..from + 1_000_000).contains(at)).count();
+        assert!(all.iter().map(second).max() <= Some(16), "{:?}", all.iter().map(second).max());
+    }
+
     use super::*;
 
     const S: Time = 1_000_000;
