--- a/rig/src/rules.rs
+++ b/rig/src/rules.rs
@@ -138,6 +138,10 @@
                 };
                 request.answers += 1;
                 open.remove(&txn);
+                // Nobody waits for what is still out: its node is to hear of it.
+                for node in &request.out {
+                    doubts.entry((txn, *node)).or_insert(now);
+                }
                 if request.answers > 1 {
                     breach(
                         "answer",
@@ -218,7 +222,7 @@
                             breach(
                                 "overlap",
                                 txn,
-                                format!("front {front}: {txn:x} was out twice for {most:?}"),
+                                format!("front {front}: {txn:x} was out {most:?} longer than it should"),
                             );
                         }
                     }
@@ -240,7 +244,8 @@
     let end = history.last().map_or(Duration::ZERO, |last| last.0);
     for ((txn, node), since) in doubts {
         if end > since + limits.overlap && veiled.iter().all(|(at, _)| *at != node) {
-            let text = format!("{txn:x} was still out at {node:x} when another had begun");
+            let text =
+                format!("{txn:x} was still out at {node:x} though another had begun or it was answered");
             found.push(Breach { at: since, rule: "overlap", txn, text });
         }
     }
@@ -345,6 +350,7 @@
                 (1, Seen::Veiled(7, 0)),
                 (1, sent(7, 1, 0)),
                 (5, sent(8, 1, 0)),
+                (30, Seen::Done(8, 1, 5)),
                 (31, ANSWERED),
                 (3_000, Seen::Clear(7, 0)),
                 (3_001, Seen::Off(7, 1)),
@@ -353,7 +359,7 @@
         for script in kept {
             assert!(found(script).is_empty(), "{script:?}");
         }
-        let broken: [(&str, &[(u64, Seen)]); 12] = [
+        let broken: [(&str, &[(u64, Seen)]); 13] = [
             ("answer", &[(0, ASKED), (4_000, Seen::Mark)]),
             ("answer", &[(0, ASKED), (1_001, ANSWERED)]),
             ("answer", &[(0, ASKED), (10, ANSWERED), (11, ANSWERED)]),
@@ -367,8 +373,16 @@
             ),
             (
                 "overlap",
-                &[(0, ASKED), (1, sent(7, 1, 0)), (5, sent(8, 1, 0)), (6, ANSWERED), (900, Seen::Mark)],
+                &[
+                    (0, ASKED),
+                    (1, sent(7, 1, 0)),
+                    (5, sent(8, 1, 0)),
+                    (6, Seen::Done(8, 1, 5)),
+                    (6, ANSWERED),
+                    (900, Seen::Mark),
+                ],
             ),
+            ("overlap", &[(0, ASKED), (1, sent(7, 1, 0)), (2, ANSWERED), (90, Seen::Mark)]),
             ("drain", &[(0, Seen::Told(0, 0)), (400, ASKED), (501, sent(7, 1, 0)), (502, ANSWERED)]),
             ("drain", &[(0, Seen::Told(0, 0)), (400, ASKED), (501, sent(8, 1, 7)), (502, ANSWERED)]),
             (
