Keep purges on disk and for peers by when they were heard of, and bound them

One that is 8 s and more ahead kept none, so a restart or a peer could be answered from copies older than a purge; behind, it kept them all, and nothing bounded how many.

A story more: peers that are stopped for ten seconds, reached one way only, or come back with nothing.

--- a/front/src/program/drivers/peers.rs
+++ b/front/src/program/drivers/peers.rs
@@ -255,7 +255,7 @@
             Effect::Heard(number, news) => {
                 self.heard = Some(turn.now);
                 let now = wall_ms();
-                self.known.take(*number, now, now.saturating_sub(self.purge_ms), news);
+                self.known.take(*number, now, self.purge_ms, news);
             }
             Effect::Current => {
                 self.heard = Some(turn.now);
--- a/front/src/program/drivers/snapshot.rs
+++ b/front/src/program/drivers/snapshot.rs
@@ -114,7 +114,7 @@
 
     fn news(&mut self, number: u64, news: &News) {
         let now = wall_ms();
-        self.known.take(number, now, now.saturating_sub(self.purge_ms), news);
+        self.known.take(number, now, self.purge_ms, news);
         self.dirty = true;
     }
 }
@@ -140,7 +140,17 @@
             return;
         }
         self.dirty = false;
-        let Some(text) = self.known.text() else { return };
+        let Some(text) = self.known.text() else {
+            // What lies there is older and is asked on from: nothing is lost, a start takes longer.
+            if !std::mem::replace(&mut self.failed, true) {
+                tracing::warn!(
+                    kind = "snapshot",
+                    purges = self.known.purges.len(),
+                    "the list is too large for the disk"
+                );
+            }
+            return;
+        };
         let path = self.path.clone();
         self.busy = self.workers.in_order(move || write(&path, &text)).is_ok();
         self.dirty = !self.busy;
--- a/front/src/program/startup.rs
+++ b/front/src/program/startup.rs
@@ -59,7 +59,7 @@
         return Known { last: list.number, news, list };
     }
     let mut list = Snapshot { source, ..Snapshot::default() };
-    news.iter().for_each(|one| list.take(last, wall_ms(), 0, one));
+    news.iter().for_each(|one| list.take(last, wall_ms(), u64::MAX, one));
     Known { last, news, list }
 }
 
--- a/front/tests/partial.rs
+++ b/front/tests/partial.rs
@@ -1,6 +1,6 @@
 //! Many processes of the program with nodes, parents, an origin, the list service and clients, while parts of it fail: the
 //! rules of the service are kept by the whole fleet, checked by what was seen at both ends.
-use cranesill_rig::{Mode, Mood, Script, Seen, Shape, Stage, State, Way};
+use cranesill_rig::{Link, Mode, Mood, Script, Seen, Shape, Stage, State, Way};
 use serde_json::{json, Value};
 use std::path::Path;
 use std::time::Duration;
@@ -537,3 +537,58 @@
     clients.end();
     stage.keeps_the_rules(33);
 }
+
+#[test]
+fn peers_that_are_stopped_reached_one_way_or_come_back_with_nothing_keep_nobody_from_the_list() {
+    let shape = Shape { fronts: 6, caches: 4, parents: 2, sides: 0 };
+    let mut settings = peers(6, &[], 50);
+    let mut ask: Vec<String> = serde_json::from_value(settings["startup"]["peers"]["ask"].clone()).unwrap();
+    // Front 1 is asked over a link that passes nothing back, front 2 over one that passes nothing there.
+    let links = [1, 2].map(|front: usize| Link::new(ask[front].parse().unwrap()));
+    (ask[1], ask[2]) = (links[0].address.to_string(), links[1].address.to_string());
+    settings["startup"]["peers"]["ask"] = json!(ask);
+    let mut stage = stage_with(shape, Some(&settings), 41);
+    let clients = stage.clients(41);
+    let last = stage.list(1, State::Draining);
+    let holds = |stage: &Stage, front: usize, times: usize| {
+        let told = |seen: &Seen| matches!(seen, Seen::Told(by, n) if *by == front && *n == last);
+        let by_peers = stage.fleet.log(front).matches("the list is taken from peers").count();
+        stage.history.count(told) + by_peers > times
+    };
+    let until = std::time::Instant::now() + cranesill_rig::GUARD;
+    let wait = |stage: &Stage, front: usize, times: usize| {
+        while !holds(stage, front, times) {
+            assert!(std::time::Instant::now() < until, "front {front}: {}", stage.fleet.log(front));
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    };
+    (0..6).for_each(|front| wait(&stage, front, 0));
+    stage.list.set(Mode::Down);
+    links[0].set(Way::Pass, Way::Cut);
+    links[1].set(Way::Cut, Way::Pass);
+    stage.stop(&[3], true);
+    let stopped = stage.history.now();
+    // Fronts 4 and 5 are left to tell; who comes back has nothing but its configuration.
+    let count = |stage: &Stage, front: usize| {
+        let told = |seen: &Seen| matches!(seen, Seen::Told(by, n) if *by == front && *n == last);
+        stage.history.count(told) + stage.fleet.log(front).matches("the list is taken from peers").count()
+    };
+    let had = count(&stage, 0);
+    stage.kill(&[0]);
+    stage.restart(&[0]);
+    wait(&stage, 0, had);
+    let from = stage.history.now();
+    stage.served("answers by the list of peers", 200);
+    assert_eq!(to_cache_by(&stage, 1, &[0], from), 0, "what peers know to drain is left alone");
+    std::thread::sleep((stopped + 10 * S).saturating_sub(stage.history.now()));
+    stage.stop(&[3], false);
+    // One that goes on after ten seconds tells as the others do.
+    links.iter().for_each(Link::heal);
+    let had = count(&stage, 4);
+    stage.kill(&[4, 5]);
+    stage.restart(&[4, 5]);
+    wait(&stage, 4, had);
+    stage.served("answers after all", 200);
+    clients.end();
+    stage.keeps_the_rules(41);
+}
--- a/startup/src/calls.rs
+++ b/startup/src/calls.rs
@@ -94,12 +94,7 @@
 
     /// A number from 0 to 1.
     fn roll(&mut self) -> f64 {
-        // SplitMix64: seeds that differ by one give numbers that have nothing in common.
-        self.dice = self.dice.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let mut z = self.dice;
-        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        ((z ^ (z >> 31)) >> 11) as f64 / (1u64 << 53) as f64
+        (crate::dice::next(&mut self.dice) >> 11) as f64 / (1u64 << 53) as f64
     }
 
     /// When the first call is made by a front that starts: all of a fleet may start at one moment. One that learns of the list
--- a/startup/src/lib.rs
+++ b/startup/src/lib.rs
@@ -7,6 +7,7 @@
 #![deny(missing_docs)]
 
 mod calls;
+pub mod dice;
 mod peers;
 mod ramp;
 mod ready;
--- a/startup/src/peers.rs
+++ b/startup/src/peers.rs
@@ -41,11 +41,7 @@
     }
 
     fn roll(&mut self) -> u64 {
-        self.dice = self.dice.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let mut z = self.dice;
-        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        z ^ (z >> 31)
+        crate::dice::next(&mut self.dice)
     }
 
     /// When the next round is due.
--- a/startup/src/ramp.rs
+++ b/startup/src/ramp.rs
@@ -1,5 +1,6 @@
 //! When a front begins to use members that are new to it. Connections to a member are begun by all fronts that learn of it at one
 //! moment; a budget of them over the whole fleet makes that a ramp, and each front goes its own way through the members.
+use crate::dice::mixed;
 use crate::{Span, Time};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -29,13 +30,6 @@
     waits: BTreeMap<u64, (Time, (u8, bool), T)>,
 }
 
-fn mixed(mut z: u64) -> u64 {
-    z = z.wrapping_add(0x9e37_79b9_7f4a_7c15);
-    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    z ^ (z >> 31)
-}
-
 fn gcd(a: u64, b: u64) -> u64 {
     if b == 0 {
         a
