Hold a link's bytes by what the link does once they are here, which failed a test now and then

`pass` looked at the way before it waited for bytes; a way set while it waited (up to 5 ms) did not hold for the bytes that came then. Ruled out: the clock and the wait itself; it is never short once the way is seen.

Change: the way is looked at once the bytes are here. The test first sends a byte, so that a relay that waits is the usual case.

--- a/rig/src/link.rs
+++ b/rig/src/link.rs
@@ -182,11 +182,15 @@
             Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => continue,
             Err(e) => return Err(e),
         };
-        // The test may have cut the link while this waited for bytes: what is not passed by then is held.
-        while way() == Way::Cut {
+        // The test may have said something else while this waited for bytes: what counts is what the link does once they are
+        // here. What is not passed when it is cut is held.
+        let now = loop {
+            match way() {
+                Way::Cut => thread::sleep(TURN),
+                now => break now,
+            }
             goes_on()?;
-            thread::sleep(TURN);
-        }
+        };
         match now {
             Way::Late(span) => {
                 // What comes behind waits as well, so all of it is late by this at least.
@@ -265,8 +269,11 @@
     }
 
     #[test]
-    fn a_slow_or_late_direction_takes_its_time() {
+    fn a_slow_or_late_direction_takes_its_time_from_the_moment_it_is_set() {
         let (link, mut caller, called) = pair();
+        // A relay that waits for bytes as the way is set is what the wait before gives time for.
+        caller.write_all(b"x").unwrap();
+        assert!(hears(&called, b"x"));
         for way in [Way::Late(Duration::from_millis(300)), Way::Slow(1_000)] {
             link.set(way, Way::Pass);
             let began = Instant::now();
