Date purges and starts by the list service's clock, whatever a front's own clock says

Cause, seen by six processes with clocks 0, +9 s, -9 s, +1 h, -1 h and +0.45 s from the list service's (front/tests/machines.rs): fronts whose clock is ahead served copies from before a purge (first 0.5 s after being told, front 1). Lines at fault: routing/route.rs purged, which took "now less the service's date" for the age of a purge, so a front 9 s ahead asked for copies of up to 9 s before it; policy.rs is_cold and cold_room by the same dates took cold caches for warm. Ruled out: fronts that are behind (their ages come out as 0, the strict side) and the caches.

Change: nothing is heard of before it is, so the least delay in one or two minutes bounds how far this clock is ahead (routing/ahead.rs, no I/O); dates are shifted by it, and what was kept counts as of now. The decisions get it as an event. The rig gains a library of our own that is loaded into each process: its wall clock, and its disk full, unsynced or slow. Stories: clocks that differ; lists on disk and of others under them; disks that are full, fail to sync or take 2 s.

--- a/front/src/program/serve.rs
+++ b/front/src/program/serve.rs
@@ -19,7 +19,7 @@
 use crate::protocol::member::name_of;
 use crate::protocol::ops::member_id;
 use crate::protocol::snapshot::Snapshot;
-use crate::routing::{Answer, AttemptId, Command, End, Front, Wake};
+use crate::routing::{Answer, AttemptId, Command, End, Front, Origin, Wake};
 use crate::transport::{inherited, listen, Clock, Deadlines, Reactor, Registered};
 use cranesill::api::{Entry, Listed, MemberId, Span, Time};
 use cranesill_daemon::{changes, Daemon, Level};
@@ -56,6 +56,8 @@
 const LEAVE_MOST: Span = 15_000_000;
 /// Connections accepted in one turn.
 const ACCEPTS_MOST: usize = 64;
+/// A clock that is apart from the list service's by more than this is told.
+const CLOCK_APART_MS: i64 = 5_000;
 
 /// What is due at some moment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -93,6 +95,8 @@
     startup: Startup,
     /// What the list service tells is told to drivers.
     hears: bool,
+    /// That this clock is far from the list service's was told.
+    clock_told: bool,
     log: Log,
     last_key: usize,
     leaving: Option<Time>,
@@ -151,7 +155,7 @@
         let hangup = raised(&reactor, signal_hook::consts::SIGHUP, HANGUP).map_err(failed("signals"))?;
         let shared = config.accept_fd.and_then(|_| share());
         let limits = config.deployment.limits.clone();
-        let Known { last, news, list } = known(&mut config, daemon.startup.as_ref());
+        let Known { last, news, list, from } = known(&mut config, daemon.startup.as_ref());
         let calls = calls(clock.now(), &config, daemon.startup.as_ref());
         let others = daemon.startup.as_ref().is_some_and(|s| s.peers.is_some());
         let startup = Startup::new(clock.now(), &config, daemon.startup.as_ref());
@@ -161,6 +165,7 @@
             feed: Feed::new(clock.now(), config.feed, last, calls, others),
             startup,
             hears: false,
+            clock_told: false,
             clients: Clients::new(),
             deadlines: Deadlines::new(),
             log,
@@ -187,7 +192,7 @@
         let at = server.listener.local_addr().map_err(failed("listener"))?;
         tracing::info!(name = server.config.name, %at, "listening");
         server.drivers(now, list)?;
-        news.into_iter().for_each(|news| server.news(now, news));
+        news.into_iter().for_each(|news| server.news(now, news, from));
         server.hears =
             server.daemon.startup.as_ref().is_some_and(|s| s.snapshots.is_some() || s.peers.is_some());
         server.take_over(now, true);
@@ -346,7 +351,7 @@
                 "quiesced": self.quiesced.is_some(), "accepts_clients": !self.elsewhere(),
                 "limits_shared": self.config.halved,
                 "out_by_hand": self.out.iter().map(|id| name_of(*id)).collect::<Vec<_>>(),
-                "list": json!({"last_event": self.feed.stands().1,
+                "list": json!({"last_event": self.feed.stands().1, "clock_ahead_ms": self.front.ahead.ms(),
                     "unheard_for_ms": self.feed.stands().0.map(|since| now.saturating_sub(since) / 1_000)}),
                 "open_requests": self.front.open(), "clients": self.clients.len(),
                 "clients_most": self.config.clients_most(), "held_bytes": self.clients.held() + self.members.held(),
@@ -542,7 +547,7 @@
                 self.effects(now);
             }
             _ if self.feed.is(key) => {
-                self.feed.ready(now).into_iter().for_each(|news| self.news(now, news));
+                self.feed.ready(now).into_iter().for_each(|news| self.news(now, news, Origin::Service));
                 self.deadlines.add(self.feed.due, Due::Feed);
             }
             _ if self.members.has(key) => {
@@ -592,7 +597,7 @@
             }
             Due::Members => {
                 let list = self.startup.due(now);
-                self.take_members(now, false, list);
+                self.take_members(now, false, list, Origin::Kept);
             }
             Due::TakeOver => self.take_over(now, false),
             Due::Look => self.look(now),
@@ -741,7 +746,7 @@
         }
     }
 
-    fn news(&mut self, now: Time, news: News) {
+    fn news(&mut self, now: Time, news: News, origin: Origin) {
         if self.hears {
             self.effects.push(Effect::Heard(self.feed.stands().1, news.clone()));
             self.effects(now);
@@ -755,12 +760,17 @@
                     self.effects(now);
                 }
                 let list = self.startup.listed(now, whole, list);
-                self.take_members(now, whole, list);
+                self.take_members(now, whole, list, origin);
             }
             News::Purge { object, group, at_ms } => {
-                self.front.purged(now, object, group, at_ms.saturating_mul(1_000))
+                self.front.purged(now, object, group, at_ms.saturating_mul(1_000), origin)
             }
         }
+        let ahead_ms = self.front.ahead.ms().filter(|ms| ms.abs() > CLOCK_APART_MS);
+        if let Some(ahead_ms) = ahead_ms.filter(|_| !self.clock_told) {
+            tracing::warn!(kind = "clock", ahead_ms, "this clock is far from that of the list service");
+        }
+        self.clock_told = ahead_ms.is_some();
         self.settle(now, Vec::new());
     }
 
@@ -780,14 +790,14 @@
         self.feed.skip_to(list.number);
         // It does not grow younger by being taken.
         self.hears = false;
-        list.news().into_iter().for_each(|news| self.news(now, news));
+        list.news().into_iter().for_each(|news| self.news(now, news, Origin::Kept));
         self.hears = true;
         self.effects.push(Effect::Taken(list));
         self.effects(now);
     }
 
     /// Takes over what the list says of members; `whole`: of all that are in use.
-    fn take_members(&mut self, now: Time, whole: bool, list: Vec<Listing>) {
+    fn take_members(&mut self, now: Time, whole: bool, list: Vec<Listing>, origin: Origin) {
         let mut ends = Vec::new();
         let entries: Vec<_> = list.iter().map(entry).collect();
         let before: Vec<_> = if whole { self.members.listed().collect() } else { Vec::new() };
@@ -802,7 +812,7 @@
             left_out.extend(before.into_iter().filter(|id| entries.iter().all(|e| e.member != *id)));
         }
         let new: Vec<_> = entries.iter().filter(|e| e.state == Listed::Ready).map(|e| e.member).collect();
-        self.front.members(now, whole, entries);
+        self.front.members(now, whole, entries, origin);
         left_out.into_iter().for_each(|id| self.members.leave_out(id, &mut ends));
         self.settle(now, ends);
         let dialled = if self.startup.dials() { new } else { Vec::new() };
--- a/front/src/program/startup.rs
+++ b/front/src/program/startup.rs
@@ -3,6 +3,7 @@
 use super::drivers::snapshot::{load, path, wall_ms};
 use crate::protocol::feed::{Listing, News};
 use crate::protocol::snapshot::Snapshot;
+use crate::routing::Origin;
 use cranesill::api::{Listed, MemberId, Time};
 use cranesill_daemon::Startup as Settings;
 use cranesill_startup::{Budget, Calls, Needs, Ramp, Ready, Take, Waits};
@@ -44,6 +45,8 @@
     pub last: u64,
     /// All that there is to be told.
     pub news: Vec<News>,
+    /// Where that comes from.
+    pub from: Origin,
     /// The list as it is to be kept on disk from then on. One that was read there stays as old as it is.
     pub list: Snapshot,
 }
@@ -56,11 +59,11 @@
     let found = snapshots(config, settings).and_then(|path| load(&path, source, last, serve_ms));
     if let Some(list) = found {
         news.extend(list.news());
-        return Known { last: list.number, news, list };
+        return Known { last: list.number, news, from: Origin::Kept, list };
     }
     let mut list = Snapshot { source, ..Snapshot::default() };
     news.iter().for_each(|one| list.take(last, wall_ms(), u64::MAX, one));
-    Known { last, news, list }
+    Known { last, news, from: Origin::Known, list }
 }
 
 /// What the settings switch on of it.
--- a/front/src/routing/mod.rs
+++ b/front/src/routing/mod.rs
@@ -2,6 +2,7 @@
 //! answers go in, commands come out; no bytes of a wire and no socket is seen here, so a second client
 //! protocol would pass through the same decisions and rules.
 mod admit;
+mod ahead;
 mod book;
 mod floors;
 mod relay;
@@ -12,6 +13,7 @@
 mod tests;
 mod types;
 
+pub use ahead::Ahead;
 pub use floors::{Floors, Judged, Need};
 pub use types::*;
 
@@ -77,6 +79,8 @@
     counts: Vec<Counts>,
     /// Everything new is refused.
     closed: bool,
+    /// How far this clock is ahead of that of the list service.
+    pub ahead: Ahead,
     actions: Vec<Action>,
     commands: VecDeque<Command>,
     /// Where the daemon's own purges are on.
@@ -94,6 +98,7 @@
             router: Router::new(deployment.settings.clone(), seed),
             counts: vec![Counts::default(); deployment.settings.classes.len()],
             closed: false,
+            ahead: Ahead::default(),
             deployment,
             room,
             open: HashMap::new(),
--- a/front/src/routing/route.rs
+++ b/front/src/routing/route.rs
@@ -28,13 +28,22 @@
     }
 
     /// Takes over the list of members, or what has changed in it.
-    pub fn members(&mut self, now: Time, whole: bool, list: Vec<cranesill::api::Entry>) {
+    pub fn members(&mut self, now: Time, whole: bool, list: Vec<cranesill::api::Entry>, origin: Origin) {
+        if origin == Origin::Service {
+            list.iter().filter(|e| e.started > 0).for_each(|e| self.ahead.told(now, e.started));
+            self.tell(now, Event::Ahead(self.ahead.span()));
+        }
         self.tell(now, Event::Members(if whole { ListKind::Full } else { ListKind::Delta }, list));
     }
 
-    /// Takes over a purge made `at`.
-    pub fn purged(&mut self, now: Time, object: Option<u64>, group: u32, at: Time) {
+    /// Takes over a purge made `at` by the clock of the list service. No copy from before it may be taken for a newer one, so
+    /// one of which nobody can tell here when it was counts as of now.
+    pub fn purged(&mut self, now: Time, object: Option<u64>, group: u32, at: Time, origin: Origin) {
         let object = object.map(cranesill::api::ObjectId);
+        if origin == Origin::Service {
+            self.ahead.told(now, at);
+        }
+        let at = if origin == Origin::Kept { now } else { self.ahead.here(at) };
         self.tell(now, Event::Purged(object, group, now.saturating_sub(at)));
     }
 
--- a/front/src/routing/tests.rs
+++ b/front/src/routing/tests.rs
@@ -29,7 +29,7 @@
     let state = cranesill::api::Listed::Ready;
     let (member, weight) = (MemberId(0x31), 1.0);
     let origin = cranesill::api::Entry { member, kind: 2, zone: 0, cell: 0, weight, started: 0, state };
-    front.members(S, true, vec![origin]);
+    front.members(S, true, vec![origin], Origin::Service);
     front
 }
 
@@ -80,6 +80,7 @@
         S,
         true,
         vec![cranesill::api::Entry { member, kind: 0, zone: 1, cell: 0, weight, started: 0, state }],
+        Origin::Service,
     );
     let mut video = |n: u64, size_kb: f64| {
         let (from, base) = ask(n);
@@ -117,7 +118,7 @@
             started: 0,
             state: l.state,
         };
-        front.members(S, whole, list.iter().map(entry).collect());
+        front.members(S, whole, list.iter().map(entry).collect(), Origin::Service);
     }
     let mut fetch = |n: u64, class: &str| {
         let (from, base) = ask(n);
@@ -186,7 +187,7 @@
         let (member, weight) = (MemberId(id), 8.0);
         cranesill::api::Entry { member, kind, zone, cell: 0, weight, started: 0, state }
     };
-    front.members(S, true, vec![entry(1, 0, 1), entry(2, 0, 1), entry(0x31, 2, 0)]);
+    front.members(S, true, vec![entry(1, 0, 1), entry(2, 0, 1), entry(0x31, 2, 0)], Origin::Service);
     let mut floors = Floors::new(1 << 16, 0);
     floors.add(&Purge {
         number: 1,
--- a/front/src/routing/types.rs
+++ b/front/src/routing/types.rs
@@ -192,3 +192,14 @@
     /// Write a line to the log.
     Log(String),
 }
+
+/// Where news of members and purges come from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// The list service tells it now.
+    Service,
+    /// The configuration knew it.
+    Known,
+    /// It was kept on disk, or another front held it: by a clock that nobody compared with this one.
+    Kept,
+}
--- /dev/null
+++ b/front/tests/machines.rs
@@ -0,0 +1,144 @@
+//! Many processes of the program on machines whose clocks differ and whose disks fail, under load, with faults between them.
+use cranesill_rig::{Mode, Seen, Shape, Stage, State};
+use serde_json::{json, Value};
+use std::path::Path;
+use std::time::Instant;
+
+fn stage(shape: Shape, settings: Option<&Value>, clocks: &[i64], seed: u64) -> Stage {
+    let base: Value = serde_json::from_str(include_str!("../examples/config.json")).unwrap();
+    Stage::on(Path::new(env!("CARGO_BIN_EXE_cranesill")), shape, &base, settings, clocks, seed)
+}
+
+/// Milliseconds by which the fronts' wall clocks are ahead.
+const CLOCKS: [i64; 6] = [0, 9_000, -9_000, 3_600_000, -3_600_000, 450];
+
+#[test]
+fn fronts_whose_clocks_differ_keep_the_rules_on_purges_and_drains() {
+    let shape = Shape { fronts: 6, caches: 4, parents: 2, sides: 0 };
+    let mut stage = stage(shape, None, &CLOCKS, 21);
+    let clients = stage.clients(21);
+    stage.served("the first answers", 200);
+    for round in 0..4 {
+        for item in 0..50 {
+            stage.purge(item);
+            stage.served("answers under purges", 12);
+        }
+        let drained = stage.list(round % 4, State::Draining);
+        stage.history.until("all are told", 6, |seen| matches!(seen, Seen::Told(_, n) if *n == drained));
+        stage.served("answers after a drain", 120);
+        stage.list(round % 4, State::Ready);
+    }
+    for (front, ahead) in CLOCKS.iter().enumerate() {
+        let told = stage.fleet.log(front).matches("this clock is far from that of the list service").count();
+        assert_eq!(told, usize::from(ahead.abs() > 5_000), "{}", stage.fleet.log(front));
+    }
+    clients.end();
+    stage.keeps_the_rules(21);
+}
+
+/// Waits until something holds that no stand-in can see.
+fn until(what: &str, holds: impl Fn() -> bool) {
+    let guard = Instant::now() + cranesill_rig::GUARD;
+    while !holds() {
+        assert!(Instant::now() < guard, "never came: {what}");
+        std::thread::yield_now();
+    }
+}
+
+fn lists(stage: &Stage, front: usize) -> String {
+    std::fs::read_to_string(stage.fleet.disk().join(format!("n{front}.list"))).unwrap_or_default()
+}
+
+/// The last event in a list on disk: its second line names the list, the event, and when.
+fn on_disk(stage: &Stage, front: usize) -> Option<u64> {
+    lists(stage, front).lines().nth(1)?.split(' ').nth(2)?.parse().ok()
+}
+
+#[test]
+fn lists_on_disk_and_of_others_bring_no_older_copies_though_clocks_differ() {
+    // An address of this test's own: ports are the fronts' numbers.
+    let host = format!("127.{}.{}.22", 1 + std::process::id() / 250 % 200, 1 + std::process::id() % 250);
+    let ask: Vec<_> = (0..6).map(|n| format!("{host}:2{n:04}")).collect();
+    let peers = json!({"listen": format!("{host}:2{{nnnn}}"), "ask": ask, "every_ms": 200});
+    let settings =
+        json!({"startup": {"snapshots": "{disk}", "calls_per_s": 20, "list": "main", "peers": peers}});
+    let shape = Shape { fronts: 6, caches: 4, parents: 2, sides: 1 };
+    let mut stage = stage(shape, Some(&settings), &CLOCKS, 22);
+    stage.remembers();
+    // So many that not all are fetched anew between a purge and a kill.
+    stage.asks.objects = 400;
+    let clients = stage.clients(22);
+    stage.served("the first answers", 1_200);
+    for round in 0..2 {
+        // Five hear of it all and are killed; the sixth does not, and learns it from them.
+        stage.feed(5, Some((cranesill_rig::Way::Cut, cranesill_rig::Way::Cut)));
+        let last = (0..400).fold(0, |_, item| stage.purge(item));
+        until("lists on disk", || (0..5).all(|front| on_disk(&stage, front) == Some(last)));
+        stage.list.set(Mode::Down);
+        stage.kill(&[0, 1, 2, 3, 4]);
+        stage.restart(&[0, 1, 2, 3, 4]);
+        stage.served("answers by lists on disk", 300);
+        // What was told before a kill counts again: it lay on disk.
+        for front in 0..5 {
+            let log = stage.fleet.log(front);
+            assert!(log.matches("the list is served from disk").count() > round, "{log}");
+        }
+        until("the sixth has the list of others", || {
+            stage.fleet.log(5).matches("the list is taken from peers").count() > round
+        });
+        stage.served("answers by lists of others", 100);
+        stage.feed(5, None);
+        stage.list.set(Mode::Serves);
+        let before = stage.list(1, State::Ready);
+        // By the service or by one another.
+        until("all hold the last event", || (0..6).all(|front| on_disk(&stage, front) == Some(before)));
+    }
+    clients.end();
+    stage.keeps_the_rules(22);
+}
+
+#[test]
+fn a_disk_that_is_full_does_not_sync_or_is_slow_costs_a_warning_and_is_written_again_once_it_can() {
+    // A: full from the start. B: full in service. C: syncs fail. D: each sync takes two seconds. E: well.
+    let settings = json!({"startup": {"snapshots": "{disk}"}});
+    let shape = Shape { fronts: 5, caches: 4, parents: 2, sides: 0 };
+    let mut stage = stage(shape, Some(&settings), &[], 23);
+    stage.remembers();
+    stage.fleet.machines[0].disk(true, false);
+    stage.kill(&[0]);
+    stage.restart(&[0]);
+    let clients = stage.clients(23);
+    stage.served("the first answers", 100);
+    let told = |last: u64| move |seen: &Seen| matches!(seen, Seen::Told(_, n) if *n == last);
+    let first = stage.list(1, State::Draining);
+    stage.history.until("all are told", 5, told(first));
+    until("lists on disk", || (1..5).all(|front| on_disk(&stage, front) == Some(first)));
+    stage.fleet.machines[1].disk(true, false);
+    stage.fleet.machines[2].disk(false, true);
+    stage.fleet.machines[3].sync(std::time::Duration::from_secs(2));
+    let second = stage.list(2, State::Draining);
+    stage.history.until("all are told", 5, told(second));
+    stage.served("answers while disks fail", 600);
+    let warnings = |stage: &Stage, front: usize| stage.fleet.log(front).matches("be kept on disk").count();
+    until("the slow disk has it", || [3, 4].iter().all(|front| on_disk(&stage, *front) == Some(second)));
+    until("three warnings", || (0..3).all(|front| warnings(&stage, front) == 1));
+    // What can't be kept leaves what was kept before: whole, and older.
+    let held = [None, Some(first), Some(first)];
+    assert_eq!([0, 1, 2].map(|front| on_disk(&stage, front)), held);
+    let left = |stage: &Stage| {
+        let files = std::fs::read_dir(stage.fleet.disk()).unwrap().flatten();
+        files.filter(|file| file.file_name().to_string_lossy().ends_with(".tmp")).count()
+    };
+    until("nothing half written is left", || left(&stage) == 0);
+    (0..3).for_each(|front| stage.fleet.machines[front].disk(false, false));
+    stage.served("answers once disks are well", 200);
+    until("all have it on disk", || (0..5).all(|front| on_disk(&stage, front) == Some(second)));
+    assert_eq!([0, 1, 2].map(|front| warnings(&stage, front)), [1, 1, 1], "each is told once");
+    // All start anew while the service is down: what they kept is heeded.
+    stage.list.set(Mode::Down);
+    stage.kill(&[0, 1, 2, 3, 4]);
+    stage.restart(&[0, 1, 2, 3, 4]);
+    stage.served("answers by lists on disk", 400);
+    clients.end();
+    stage.keeps_the_rules(23);
+}
--- /dev/null
+++ b/rig/shim/src/lib.rs
@@ -0,0 +1,154 @@
+//! Loaded into a process under test (`LD_PRELOAD`): its wall clock is another one, and the disk under one folder is full, fails
+//! to sync or is slow, as the test says. The test says it in a file of `WORDS` numbers of 64 bits, named by `CRANESILL_SHIM`,
+//! which the process maps; `CRANESILL_SHIM_FILES` is the folder. Without them all is as it was.
+//!
+//! Words: 0 milliseconds that the wall clock is ahead; 1 faults of the disk (1: nothing can be written, 2: syncs fail);
+//! 2 milliseconds that each sync takes.
+use std::ffi::{c_char, c_int, c_long, c_void};
+use std::sync::atomic::{AtomicI64, AtomicPtr, Ordering};
+
+const WORDS: usize = 3;
+const FULL: i64 = 1;
+const UNSYNCED: i64 = 2;
+
+type Words = [AtomicI64; WORDS];
+static NONE: Words = [const { AtomicI64::new(0) }; WORDS];
+static MAPPED: AtomicPtr<Words> = AtomicPtr::new(std::ptr::null_mut());
+
+fn raw(number: c_long, args: [usize; 4]) -> c_long {
+    // SAFETY: each caller passes the arguments of the call that it stands for, as it got them.
+    unsafe { libc::syscall(number, args[0], args[1], args[2], args[3]) }
+}
+
+fn setting(name: &std::ffi::CStr) -> *const c_char {
+    // SAFETY: the name ends with a zero; nothing in a process under test changes its environment.
+    unsafe { libc::getenv(name.as_ptr()) }
+}
+
+/// What the test says.
+fn words() -> &'static Words {
+    let mapped = MAPPED.load(Ordering::Acquire);
+    // SAFETY: what is kept there is a mapping that lasts, or `NONE`.
+    if let Some(words) = unsafe { mapped.as_ref() } {
+        return words;
+    }
+    let path = setting(c"CRANESILL_SHIM");
+    let mut found: *const Words = &NONE;
+    if !path.is_null() {
+        let fd = raw(libc::SYS_openat, [libc::AT_FDCWD as usize, path as usize, libc::O_RDONLY as usize, 0]);
+        if fd >= 0 {
+            let size = std::mem::size_of::<Words>();
+            // SAFETY: a new mapping of a file that the test made this long.
+            let at = unsafe {
+                libc::mmap(std::ptr::null_mut(), size, libc::PROT_READ, libc::MAP_SHARED, fd as c_int, 0)
+            };
+            raw(libc::SYS_close, [fd as usize, 0, 0, 0]);
+            if at != libc::MAP_FAILED {
+                found = at.cast();
+            }
+        }
+    }
+    MAPPED.store(found.cast_mut(), Ordering::Release);
+    // SAFETY: as above.
+    unsafe { &*found }
+}
+
+fn word(place: usize) -> i64 {
+    words()[place].load(Ordering::Relaxed)
+}
+
+fn fails(errno: c_int) -> c_int {
+    // SAFETY: the place of this thread's own error number.
+    unsafe { *libc::__errno_location() = errno };
+    -1
+}
+
+/// Whether this is a file under the folder.
+fn under(fd: c_int) -> bool {
+    let folder = setting(c"CRANESILL_SHIM_FILES");
+    if folder.is_null() {
+        return false;
+    }
+    // SAFETY: a string of the environment.
+    let folder = unsafe { std::ffi::CStr::from_ptr(folder) }.to_bytes();
+    let mut link = *b"/proc/self/fd/\0\0\0\0\0\0\0\0\0\0\0\0";
+    let (mut n, mut digits, mut at) = (fd.max(0), [0u8; 10], 0);
+    loop {
+        digits[at] = b'0' + (n % 10) as u8;
+        (n, at) = (n / 10, at + 1);
+        if n == 0 {
+            break;
+        }
+    }
+    for (to, from) in link[14..].iter_mut().zip(digits[..at].iter().rev()) {
+        *to = *from;
+    }
+    let mut path = [0u8; 512];
+    let args = [libc::AT_FDCWD as usize, link.as_ptr() as usize, path.as_mut_ptr() as usize, path.len()];
+    let len = raw(libc::SYS_readlinkat, args);
+    usize::try_from(len).is_ok_and(|len| path[..len].starts_with(folder))
+}
+
+/// The clock of the process: the wall clock is ahead by what the test says.
+///
+/// # Safety
+/// As the system's: `to` is where a time may be written, or null.
+#[no_mangle]
+pub unsafe extern "C" fn clock_gettime(clock: libc::clockid_t, to: *mut libc::timespec) -> c_int {
+    type Real = unsafe extern "C" fn(libc::clockid_t, *mut libc::timespec) -> c_int;
+    static REAL: AtomicPtr<c_void> = AtomicPtr::new(std::ptr::null_mut());
+    let mut real = REAL.load(Ordering::Relaxed);
+    if real.is_null() {
+        real = libc::dlsym(libc::RTLD_NEXT, c"clock_gettime".as_ptr());
+        REAL.store(real, Ordering::Relaxed);
+    }
+    let result = match real.is_null() {
+        true => raw(libc::SYS_clock_gettime, [clock as usize, to as usize, 0, 0]) as c_int,
+        false => std::mem::transmute::<*mut c_void, Real>(real)(clock, to),
+    };
+    if result == 0 && clock == libc::CLOCK_REALTIME && !to.is_null() {
+        let nanos = i128::from((*to).tv_sec) * 1_000_000_000 + i128::from((*to).tv_nsec);
+        let nanos = (nanos + i128::from(word(0)) * 1_000_000).max(0);
+        (*to).tv_sec = (nanos / 1_000_000_000) as libc::time_t;
+        (*to).tv_nsec = (nanos % 1_000_000_000) as c_long;
+    }
+    result
+}
+
+/// Writes, unless it is a file on a disk that is full.
+///
+/// # Safety
+/// As the system's: `count` bytes can be read at `from`.
+#[no_mangle]
+pub unsafe extern "C" fn write(fd: c_int, from: *const c_void, count: usize) -> isize {
+    if word(1) & FULL != 0 && under(fd) {
+        return fails(libc::ENOSPC) as isize;
+    }
+    raw(libc::SYS_write, [fd as usize, from as usize, count, 0]) as isize
+}
+
+fn sync(number: c_long, fd: c_int) -> c_int {
+    if under(fd) {
+        let takes = word(2).max(0);
+        if takes > 0 {
+            let span = libc::timespec { tv_sec: takes / 1_000, tv_nsec: takes % 1_000 * 1_000_000 };
+            raw(libc::SYS_nanosleep, [&raw const span as usize, 0, 0, 0]);
+        }
+        if word(1) & UNSYNCED != 0 {
+            return fails(libc::EIO);
+        }
+    }
+    raw(number, [fd as usize, 0, 0, 0]) as c_int
+}
+
+/// Syncs a file, as the test says.
+#[no_mangle]
+pub extern "C" fn fsync(fd: c_int) -> c_int {
+    sync(libc::SYS_fsync, fd)
+}
+
+/// Syncs what a file holds, as the test says.
+#[no_mangle]
+pub extern "C" fn fdatasync(fd: c_int) -> c_int {
+    sync(libc::SYS_fdatasync, fd)
+}
--- a/rig/src/fleet.rs
+++ b/rig/src/fleet.rs
@@ -2,16 +2,61 @@
 use serde_json::Value;
 use std::io::Write;
 use std::net::SocketAddr;
+use std::os::unix::fs::FileExt;
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
+/// What the machine of one process does, as the library that is loaded into it is told (`shim/`).
+pub struct Machine {
+    words: std::fs::File,
+}
+
+impl Machine {
+    fn new(file: &Path) -> Self {
+        let words = std::fs::File::options().create(true).truncate(true).write(true).open(file);
+        let machine = Machine { words: words.expect("a file") };
+        (0..3).for_each(|place| machine.say(place, 0));
+        machine
+    }
+
+    fn say(&self, place: u64, word: i64) {
+        self.words.write_all_at(&word.to_ne_bytes(), place * 8).expect("a file");
+    }
+
+    /// Its wall clock is ahead by so many milliseconds, or behind.
+    pub fn clock(&self, ahead_ms: i64) {
+        self.say(0, ahead_ms);
+    }
+
+    /// Files under [`Fleet::disk`] can't be written; syncs of them fail.
+    pub fn disk(&self, full: bool, unsynced: bool) {
+        self.say(1, i64::from(full) | i64::from(unsynced) << 1);
+    }
+
+    /// A sync of such a file takes this long.
+    pub fn sync(&self, takes: Duration) {
+        self.say(2, takes.as_millis() as i64);
+    }
+}
+
+/// The library that is loaded into each process: it is built beside this.
+fn shim() -> PathBuf {
+    let exe = std::env::current_exe().expect("a program");
+    let near = exe.ancestors().skip(1).take(2).flat_map(|at| [at.to_path_buf(), at.join("deps")]);
+    let mut found = near.map(|at| at.join("libcranesill_shim.so"));
+    found.find(|at| at.exists()).expect("libcranesill_shim.so is built with the rig")
+}
+
 /// Some processes of the program, each with a configuration of its own. All are ended with this.
 pub struct Fleet {
     binary: PathBuf,
     folder: tempfile::TempDir,
     settings: bool,
+    shim: PathBuf,
+    /// Of each process, dead or alive.
+    pub machines: Vec<Machine>,
     processes: Vec<Option<Child>>,
     /// How often each was started.
     starts: Vec<usize>,
@@ -20,23 +65,41 @@
 impl Fleet {
     /// Starts so many processes at once, each with what `config` makes of its number.
     ///
-    /// `settings` are the daemon's own; `{nnnn}` in them is the number of the process in four digits; `None`: it is started
-    /// without.
+    /// `settings` are the daemon's own; `{nnnn}` in them is the number of the process in four digits, `{disk}` a folder for its
+    /// files; `None`: it is started without.
     pub fn start(
         binary: &Path,
         count: usize,
         settings: Option<&Value>,
         config: impl Fn(usize) -> Value,
+    ) -> Self {
+        Fleet::on(binary, count, settings, &[], config)
+    }
+
+    /// The same on machines whose wall clocks are ahead by so many milliseconds.
+    pub fn on(
+        binary: &Path,
+        count: usize,
+        settings: Option<&Value>,
+        clocks: &[i64],
+        config: impl Fn(usize) -> Value,
     ) -> Self {
         let folder = tempfile::tempdir().expect("a folder");
         let (binary, starts) = (binary.to_path_buf(), vec![1; count]);
-        let mut fleet = Fleet { binary, folder, settings: settings.is_some(), processes: Vec::new(), starts };
+        let machine = |n: usize| Machine::new(&folder.path().join(format!("{n}.machine")));
+        let machines: Vec<_> = (0..count).map(machine).collect();
+        machines.iter().zip(clocks).for_each(|(machine, ahead)| machine.clock(*ahead));
+        std::fs::create_dir(folder.path().join("disk")).expect("a folder");
+        let (settings_on, processes) = (settings.is_some(), Vec::new());
+        let shim = shim();
+        let mut fleet = Fleet { binary, folder, settings: settings_on, shim, machines, processes, starts };
         for n in 0..count {
             let file = std::fs::File::create(fleet.file(n))
                 .and_then(|mut f| f.write_all(config(n).to_string().as_bytes()));
             file.expect("a file");
             if let Some(settings) = settings {
                 let text = settings.to_string().replace("{nnnn}", &format!("{n:04}"));
+                let text = text.replace("{disk}", &fleet.disk().display().to_string());
                 std::fs::write(fleet.settings_file(n), text).expect("a file");
             }
         }
@@ -45,6 +108,11 @@
         fleet
     }
 
+    /// Where files of the processes lie whose disk is in the test's hand.
+    pub fn disk(&self) -> PathBuf {
+        self.folder.path().join("disk")
+    }
+
     fn file(&self, n: usize) -> PathBuf {
         self.folder.path().join(format!("{n}.json"))
     }
@@ -60,6 +128,8 @@
             command.arg("--settings").arg(self.settings_file(n));
         }
         command.arg(self.file(n)).stdin(Stdio::null()).stdout(Stdio::null());
+        command.env("LD_PRELOAD", &self.shim).env("CRANESILL_SHIM_FILES", self.disk());
+        command.env("CRANESILL_SHIM", self.folder.path().join(format!("{n}.machine")));
         let log = std::fs::File::options()
             .create(true)
             .append(true)
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -19,7 +19,7 @@
 
 pub use clients::{Asks, Clients};
 pub use event::{Event, Listed, State};
-pub use fleet::Fleet;
+pub use fleet::{Fleet, Machine};
 pub use history::{History, Seen};
 pub use link::{Link, Way};
 pub use list::{ListService, Mode};
--- a/rig/src/rules.rs
+++ b/rig/src/rules.rs
@@ -15,6 +15,8 @@
     pub answer: Duration,
     /// For how long the end of one attempt may come after the begin of the next, on different connections.
     pub overlap: Duration,
+    /// A front that was killed knows what it was told before: it lies on its disk.
+    pub remembers: bool,
 }
 
 /// A rule that was broken.
@@ -100,7 +102,7 @@
             Seen::Killed(front) | Seen::Stopped(front) => {
                 let killed = matches!(seen, Seen::Killed(_));
                 let told = fronts.entry(front).or_default();
-                if killed {
+                if killed && !limits.remembers {
                     *told = Front { deaf: told.deaf, ..Front::default() };
                 }
                 told.stopped = true;
@@ -292,6 +294,7 @@
         purge: Duration::from_millis(500),
         answer: Duration::from_millis(1_000),
         overlap: Duration::from_millis(50),
+        remembers: false,
     };
 
     fn drains() -> Event {
@@ -300,9 +303,13 @@
     }
 
     fn found(script: &[(u64, Seen)]) -> Vec<&'static str> {
+        found_by(script, &LIMITS)
+    }
+
+    fn found_by(script: &[(u64, Seen)], limits: &Limits) -> Vec<&'static str> {
         let history: Vec<_> = script.iter().map(|(ms, seen)| (Duration::from_millis(*ms), *seen)).collect();
         let events = [drains(), Event::Purge(3, 1_000)];
-        let all = breaches(&history, |number| events.get(number as usize), &LIMITS);
+        let all = breaches(&history, |number| events.get(number as usize), limits);
         all.iter().map(|breach| breach.rule).collect()
     }
 
@@ -410,6 +417,17 @@
             (1_402, ANSWERED),
         ];
         assert_eq!(found(&late), ["drain"]);
+        // One that has it on disk is held to what it was told before it was killed.
+        let script = [
+            (0, Seen::Told(0, 0)),
+            (9, Seen::Killed(0)),
+            (10, Seen::Going(0)),
+            (900, ASKED),
+            (901, sent(7, 1, 0)),
+            (902, ANSWERED),
+        ];
+        let remembers = Limits { remembers: true, ..LIMITS };
+        assert_eq!((found(&script), found_by(&script, &remembers)), (vec![], vec!["drain"]));
         // What a link held comes once it heals; what comes later than that was written later.
         let script = |at| {
             [
--- a/rig/src/stage.rs
+++ b/rig/src/stage.rs
@@ -53,6 +53,18 @@
     /// Starts all of it. `base` is a configuration whose settings have the classes that are asked, an edge at zone 1, a hub at
     /// zone 0 and the kinds cache, parent, origin in this order; `settings` are the daemon's own.
     pub fn start(binary: &Path, shape: Shape, base: &Value, settings: Option<&Value>, seed: u64) -> Self {
+        Stage::on(binary, shape, base, settings, &[], seed)
+    }
+
+    /// The same on machines whose wall clocks are ahead by so many milliseconds, front by front.
+    pub fn on(
+        binary: &Path,
+        shape: Shape,
+        base: &Value,
+        settings: Option<&Value>,
+        clocks: &[i64],
+        seed: u64,
+    ) -> Self {
         let history = History::default();
         let info = &base["settings"]["familyInfo"];
         let classes = base["settings"]["classes"].as_array().expect("classes");
@@ -69,6 +81,7 @@
             purge: micros(&info["purgeGrace"]) + SLACK,
             answer: limit(read).min(limit(one)) + SLACK,
             overlap: SLACK,
+            remembers: false,
         };
         let purge_takes = micros(&info["purgeTakes"]);
         let count = shape.caches + shape.parents + 1;
@@ -99,7 +112,7 @@
         let feeds: Vec<_> = linked.map(|door| Link::new(*door)).collect();
         let calls = |front: usize| feeds.get(front).map_or(list.doors[front], |link| link.address);
         let names = |key: &str, i: u8| base["settings"][key][usize::from(i)].clone();
-        let fleet = Fleet::start(binary, shape.fronts, settings, |front| {
+        let fleet = Fleet::on(binary, shape.fronts, settings, clocks, |front| {
             let mut config = base.clone();
             config["name"] = format!("n{front}").into();
             config["listen"] = "127.0.0.1:0".into();
@@ -137,6 +150,11 @@
         }
     }
 
+    /// From now on each front that is killed is held to what it was told before: it has it on disk.
+    pub fn remembers(&mut self) {
+        self.limits.remembers = true;
+    }
+
     /// Clients begin to ask all fronts.
     pub fn clients(&self, seed: u64) -> Clients {
         Clients::begin(&self.history, &self.addresses, &self.asks, seed)
--- a/src/api.rs
+++ b/src/api.rs
@@ -306,6 +306,8 @@
     Timer(u64),
     /// An object, or with `None` a whole group, was purged this long ago.
     Purged(Option<ObjectId>, u32, Span),
+    /// The router's clock is ahead of that by which members' starts are dated, by this at most.
+    Ahead(Span),
     /// An operator takes a member out (`true`), or gives it back.
     ByHand(MemberId, bool),
     /// What an earlier process of this router has learned.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -214,6 +214,7 @@
                 let keep = self.settings.purge_done + PURGE_SLACK;
                 self.purges.note(object, group, now.saturating_sub(age), now.saturating_sub(keep));
             }
+            Event::Ahead(span) => self.members.ahead = span,
             Event::ByHand(member, out) => self.by_hand(member, out),
             Event::Learned(all) => all.into_iter().for_each(|one| self.learn(one)),
         }
@@ -282,8 +283,9 @@
             return;
         }
         if let Some(at) = self.members.find(id).filter(|_| !out) {
-            let (now, member) = (self.now, &mut self.members[at]);
-            member.cold_since = now;
+            let (now, started) = (self.now, self.members.dated(self.now));
+            let member = &mut self.members[at];
+            member.cold_since = started;
             (member.budget, member.health) = (Bucket::new(now), Health { changed: now, ..Health::default() });
         }
         self.members_changed(ListKind::Delta, Vec::new());
@@ -384,8 +386,8 @@
 
     // -------------------------------------------------------------------------------------------- guards
     fn is_cold(&self, at: usize) -> bool {
-        let m = &self.members[at];
-        m.role != Role::Origin && m.cold_since > 0 && self.now < m.cold_since + m.cold.warm_in
+        let (m, now) = (&self.members[at], self.members.dated(self.now));
+        m.role != Role::Origin && m.cold_since > 0 && now < m.cold_since + m.cold.warm_in
     }
 
     /// Slow start: a member that started lately gets no more than this router's share of what it can do for
@@ -399,8 +401,9 @@
         let (limits, routers) = (self.members[at].cold, f64::from(self.routers(self.members[at].role)));
         let (span, work) =
             (self.settings.overload_span as f64, self.mean_work.iter().fold(1.0, |a, b| b.max(a)));
+        let now = self.members.dated(self.now);
         let member = &mut self.members[at];
-        let age = self.now.saturating_sub(member.cold_since) as f64 / limits.warm_in as f64;
+        let age = now.saturating_sub(member.cold_since) as f64 / limits.warm_in as f64;
         let capacity = member.listed.weight * (limits.from + (1.0 - limits.from) * age.min(1.0));
         let rate = capacity * limits.fall_multiple * COLD_SHARE;
         let some = (rate * span / work / COLD_TURN).floor().clamp(1.0, routers);
@@ -939,12 +942,13 @@
     }
 
     fn served(&mut self, at: usize, sent: Time) {
+        let started = self.members.dated(self.now);
         let member = &mut self.members[at];
         let lost = member.health.lost;
         if member.health.served(sent, self.now) {
             if lost {
                 // No connection was made before: the process died and comes back cold.
-                member.cold_since = self.now;
+                member.cold_since = started;
                 member.budget = Bucket::new(self.now);
             }
             self.out.push(Action::Log(format!("{:?} {:x} UP again", member.role, member.listed.member.0)));
--- a/src/state.rs
+++ b/src/state.rs
@@ -127,6 +127,8 @@
     usable: [Vec<usize>; 3],
     /// Members that operators took out: by id, since each outlives its place in the list.
     by_hand: BTreeSet<MemberId>,
+    /// How far this clock is ahead of that by which starts are dated.
+    pub ahead: Span,
 }
 
 impl Roster {
@@ -134,6 +136,11 @@
         self.index.get(&member).copied()
     }
 
+    /// Now, by the clock by which starts are dated.
+    pub fn dated(&self, now: Time) -> Time {
+        now.saturating_sub(self.ahead)
+    }
+
     /// Takes a member out by hand, or gives it back. Whether that changes anything.
     pub fn set_by_hand(&mut self, member: MemberId, out: bool) -> bool {
         if out {
--- a/tests/incidents.rs
+++ b/tests/incidents.rs
@@ -678,3 +678,31 @@
         assert_eq!(stand.checker.broken, Vec::<String>::new());
     }
 }
+
+#[test]
+fn a_clock_that_is_ahead_takes_no_cold_member_for_a_warm_one() {
+    // Starts are dated by the list service's clock; a front half a minute ahead held no cold cache back.
+    let admitted = |ahead: Span, started: Option<Span>| {
+        let mut stand = Stand::new(settings(), Vec::new());
+        stand.tell(Event::Ahead(ahead));
+        let started = started.map_or(0, |ago| stand.now - ago);
+        let fresh = [entry(10, CACHE), entry(30, ORIGIN)].map(|e| Entry { started, ..e });
+        stand.tell(Event::Members(ListKind::Full, fresh.to_vec()));
+        stand.advance(S);
+        let sent = crowd(&mut stand, 1..200);
+        assert_eq!(stand.checker.broken.iter().filter(|_| ahead == 0).count(), 0);
+        sent.len()
+    };
+    let (cold, warm) = (admitted(0, Some(MS)), admitted(0, None));
+    assert!(cold > 0 && cold * 2 < warm, "{cold} at a cold cache, {warm} at a warm one");
+    assert_eq!(admitted(30 * S, Some(30 * S + MS)), cold);
+    // A restart that operators make dates itself by this clock.
+    let mut stand = Stand::new(settings(), vec![entry(10, CACHE), entry(30, ORIGIN)]);
+    stand.tell(Event::Ahead(60 * S));
+    stand.tell(Event::ByHand(MemberId(10), true));
+    stand.tell(Event::ByHand(MemberId(10), false));
+    stand.advance(S);
+    assert_eq!(crowd(&mut stand, 1..200).len(), cold);
+    stand.advance(30 * S);
+    assert!(crowd(&mut stand, 300..500).len() > cold, "it is warm in time");
+}
