Put the decisions into the emulator: a fleet and its nodes cold at one moment

Until now only calls and connections were in it.

Change: emulator/src/cold.rs, one router a front on one virtual clock; nodes with places that grow as they warm, that are slower the more they hold and fall past what the settings let them bear; clients that ask once more. Design: routers as they are, nodes by a formula at each arrival; way not taken, a queue for each place, which costs events and is no nearer to a node that shares its processor.

--- a/emulator/src/lib.rs
+++ b/emulator/src/lib.rs
@@ -5,11 +5,13 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+mod cold;
 mod dice;
 mod lists;
 mod nodes;
 mod plot;
 
+pub use cold::{Cold, Found, Held};
 pub use lists::{Outage, Return, Way};
 pub use nodes::{handshakes, Dials, Use};
 pub use plot::{draw, Line};
--- a/emulator/src/main.rs
+++ b/emulator/src/main.rs
@@ -1,6 +1,6 @@
 //! `cranesill-emulator`.
 use bpaf::{construct, long, Parser};
-use cranesill_emulator::{draw, handshakes, Line, Outage, Use, Way, S};
+use cranesill_emulator::{draw, handshakes, Cold, Held, Line, Outage, Use, Way, S};
 use serde_json::json;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -16,6 +16,8 @@
     out: Option<PathBuf>,
 }
 
+/// Caches of the location that is all cold; the requests that are asked there follow from them, not from the fronts.
+const COLD_CACHES: u32 = 20;
 /// Fronts at most: a run takes seconds.
 const FRONTS_MOST: u32 = 20_000;
 
@@ -70,7 +72,12 @@
         Way::DoublingAtRandom { most: 5_500_000 },
     ];
     let uses = [Use::OnDemand, Use::AtOnce, Use::Ramp { per_s: 20 }];
-    let (mut results, mut lists, mut nodes) = (Vec::new(), Vec::new(), Vec::new());
+    let helds = [
+        ("by the fleet's shares", Held::Shares),
+        ("each as if alone", Held::Alone),
+        ("cold ones taken for warm", Held::Not),
+    ];
+    let (mut results, mut lists, mut nodes, mut colds) = (Vec::new(), Vec::new(), Vec::new(), Vec::new());
     for fronts in &cold.fronts {
         let outage = Outage { fronts: *fronts, back: cold.back_s * S, room: cold.room, seed: cold.seed };
         for way in &ways {
@@ -88,6 +95,12 @@
             results.push(json!({"fronts": fronts, "cache_node": name, "found": found}));
             nodes.push((name, f64::from(*fronts), found));
         }
+        for (name, held) in &helds {
+            let all = Cold { fronts: *fronts, caches: COLD_CACHES, load: 0.6, seconds: 20, seed: cold.seed };
+            let found = all.play(*held);
+            results.push(json!({"fronts": fronts, "cold_nodes": name, "found": found}));
+            colds.push((name.to_string(), f64::from(*fronts), found));
+        }
     }
     results.iter().for_each(|result| println!("{result}"));
     let Some(out) = &cold.out else { return Ok(()) };
@@ -100,6 +113,10 @@
     plot("calls.svg", "Calls at a list service that fails", "calls a second", by_name(calls))?;
     let last = lists.iter().map(|(n, x, f)| (n.clone(), *x, f.most_served_s.unwrap_or(0.0)));
     plot("served.svg", "Until 99 in 100 fronts are served after its return", "seconds", by_name(last))?;
+    let served = colds.iter().map(|(n, x, f)| (n.clone(), *x, 100.0 * f.served_first));
+    plot("cold-served.svg", "All cold: served in the first 5 s", "of 100 requests", by_name(served))?;
+    let loads = colds.iter().map(|(n, x, f)| (n.clone(), *x, f.worst_load));
+    plot("cold-load.svg", "All cold: sent to one node", "over what it bears", by_name(loads))?;
     let dials = nodes.iter().map(|(n, x, f)| (n.clone(), *x, f.worst_second as f64));
     plot("handshakes.svg", "Connections to one cache node", "in the worst second", by_name(dials))
 }
--- a/emulator/tests/cold.rs
+++ b/emulator/tests/cold.rs
@@ -1,5 +1,5 @@
 //! What must hold for any seed, and how growth looks.
-use cranesill_emulator::{handshakes, Outage, Use, Way, S};
+use cranesill_emulator::{handshakes, Cold, Held, Outage, Use, Way, S};
 
 const BUDGET: Way = Way::Budget { per_s: 10, most: 5_500_000 };
 
@@ -36,3 +36,28 @@
         assert!(demand.worst_second >= fronts as usize / 4, "{fronts}: {demand:?}");
     }
 }
+
+#[test]
+fn all_fronts_and_all_nodes_cold_at_one_moment_push_nobody_over_and_serve_on_whatever_the_fleet() {
+    let play = |fronts: u32, seed: u64, held: Held| {
+        Cold { fronts, caches: 8, load: 0.6, seconds: 20, seed }.play(held)
+    };
+    for seed in 0..12 {
+        let fronts = [8, 40, 150][seed as usize % 3];
+        let found = play(fronts, seed, Held::Shares);
+        assert!(found.fell == 0 && found.worst_load < 0.75, "seed {seed}, {fronts} fronts: {found:?}");
+        assert!(found.served_last > 0.99 && found.attempts < 1.2, "seed {seed}, {fronts} fronts: {found:?}");
+        assert!(found.served_first > 0.6, "seed {seed}, {fronts} fronts: {found:?}");
+    }
+    // What was not taken: the guard is found to be gone.
+    let (alone, warm) = (play(400, 1, Held::Alone), play(400, 1, Held::Not));
+    let shares = play(400, 1, Held::Shares);
+    assert!(
+        alone.worst_load > 1.5 * shares.worst_load && alone.served_first < shares.served_first / 2.0,
+        "{alone:?}"
+    );
+    assert!(
+        warm.worst_load > 1.5 * shares.worst_load && warm.served_first < shares.served_first / 2.0,
+        "{warm:?}"
+    );
+}
