--- a/front/tests/startup.rs
+++ b/front/tests/startup.rs
@@ -151,3 +151,39 @@
     drop(near);
     assert_eq!(fleet.dead(), []);
 }
+
+#[test]
+fn a_service_that_flaps_each_second_is_called_within_the_budget_and_all_are_served_once_it_stays() {
+    let history = History::default();
+    let list = ListService::new(&history, Mode::Serves);
+    let mut fleet = fleet(40, &list);
+    history.until("all are served at first", 40, served);
+    // Their connections were well by then; each break after that is one of a service that fails.
+    std::thread::sleep(3 * S);
+    let began = history.now();
+    for flap in 0..10 {
+        list.set(if flap % 2 == 0 { Mode::Closes } else { Mode::Serves });
+        std::thread::sleep(S);
+    }
+    let (from, to) = (began + S, history.now());
+    let calls = history.moments(call).into_iter().filter(|at| (from..to).contains(at)).count();
+    let (second, at) = history.most(from, to, S, call);
+    let (tenth, _) = history.most(from, to, S / 10, call);
+    let mean = calls as f64 / (to - from).as_secs_f64();
+    // A front that was served for a moment begins its share anew at its place, so a second has more in it than where the service
+    // fails all the time; the mean keeps to the budget of ten.
+    assert!(
+        mean <= 14.0 && second <= 3 * BUDGET / 2 && tenth <= IN_STEP,
+        "{mean:.1} a second, {second} calls in the second from {at:?}, {tenth} in 100 ms"
+    );
+    assert!(mean >= 4.0, "{mean:.1} calls a second: it is still called");
+    list.set(Mode::Serves);
+    let back = history.now();
+    // Each door tells of a connection that is served, and of its end.
+    let held = || history.count(served) - history.count(|seen| *seen == Seen::Left);
+    while held() < 40 {
+        assert!(history.now() <= back + SERVED_BY, "{} of 40 are served", held());
+        std::thread::sleep(S / 100);
+    }
+    assert_eq!(fleet.dead(), []);
+}
