Let the toy's feed and members stay until they are interrupted

Need: tried from the README as a new user would, ctl startup and ctl status showed a list service that is not heard: the toy ended after its three requests, before the front called again, and so did the boxes that the section on purges wants.

--- a/front/examples/toy.rs
+++ b/front/examples/toy.rs
@@ -39,7 +39,11 @@
     };
     let front = text(&config["listen"]);
     ask(&front, &of(false), "", &[1, 2])?;
-    ask(&front, &of(true), "one small thing", &[3])
+    ask(&front, &of(true), "one small thing", &[3])?;
+    println!("the feed and the members stay until this is interrupted");
+    loop {
+        thread::park();
+    }
 }
 
 /// The feed has nothing new, once a second.
