Give each stand-in of the rig an address that nobody dials from

Found by reading: while a stand-in is down (rig/src/list.rs, nodes.rs, link.rs) its port lies in the range from which the system gives ports to whoever dials, and all dial from 127.0.0.1; a bind to it then fails for as long as that connection lasts. Not shown to be what happened: the play's history was not kept.

Change: each listens on an address of its own in 127/8. The new test can't have both on one address and can here.

--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -32,3 +32,14 @@
 
 /// No test waits for longer than this: a guard against hanging, not a measure.
 pub const GUARD: Duration = Duration::from_secs(60);
+
+/// An address of this machine that nobody else listens on and nobody dials from: what is dialled from 127.0.0.1 has ports of that
+/// address, and one of them could otherwise be what a stand-in that was down wants back.
+pub fn own_address() -> std::net::SocketAddr {
+    static LAST: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
+    let n = LAST.fetch_add(1, std::sync::atomic::Ordering::SeqCst);
+    let (pid, part) = (std::process::id(), |n: u32| (n % 250 + 1) as u8);
+    // 127.128 and up: stories take addresses below for what their fronts listen on.
+    let host = [127, 128 + (pid % 100) as u8, part(pid / 100), part(n)];
+    (host, 0).into()
+}
--- a/rig/src/link.rs
+++ b/rig/src/link.rs
@@ -56,7 +56,7 @@
 impl Link {
     /// A link that passes all to `to`.
     pub fn new(to: SocketAddr) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let listener = TcpListener::bind(crate::own_address()).expect("a port");
         let address = listener.local_addr().expect("bound");
         let ways = Mutex::new(Ways { there: Way::Pass, back: Way::Pass });
         let (refuses, over, age) = (AtomicBool::new(false), AtomicBool::new(false), AtomicU64::new(0));
--- a/rig/src/list.rs
+++ b/rig/src/list.rs
@@ -66,7 +66,7 @@
     /// Begins in a mode, with a door for each of these; who calls there reaches the nodes at those addresses.
     pub fn with_doors(history: &History, mode: Mode, addresses: Vec<Vec<SocketAddr>>) -> Self {
         let listeners: Vec<_> =
-            addresses.iter().map(|_| TcpListener::bind("127.0.0.1:0").expect("a port")).collect();
+            addresses.iter().map(|_| TcpListener::bind(crate::own_address()).expect("a port")).collect();
         let doors: Vec<_> = listeners.iter().map(|l| l.local_addr().expect("bound")).collect();
         let (mode, over) = (Arc::new(Mutex::new(mode)), Arc::new(AtomicBool::new(false)));
         let told = Arc::new(Mutex::new((Vec::new(), addresses)));
@@ -215,3 +215,28 @@
     }
     Ok(())
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_service_returns_though_somebody_dials_from_its_port_meanwhile() {
+        let service = ListService::new(&History::default(), Mode::Serves);
+        service.set(Mode::Down);
+        let until = Instant::now() + crate::GUARD / 6;
+        while TcpStream::connect(service.address).is_ok() {
+            assert!(Instant::now() < until, "it is still there");
+        }
+        // As the system gives ports to whoever dials: any that nobody has at that moment.
+        let other = TcpListener::bind("127.0.0.1:0").unwrap();
+        let dials = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        let from: SocketAddr = ([127, 0, 0, 1], service.address.port()).into();
+        dials.bind(&from.into()).unwrap();
+        dials.connect(&other.local_addr().unwrap().into()).unwrap();
+        service.set(Mode::Serves);
+        while TcpStream::connect(service.address).is_err() {
+            assert!(Instant::now() < until, "it does not return");
+        }
+    }
+}
--- a/rig/src/nodes.rs
+++ b/rig/src/nodes.rs
@@ -73,7 +73,7 @@
         let shared = Arc::new(Shared { purged, moods, over: Mutex::new(false), poller });
         let mut nodes = Vec::new();
         for id in ids {
-            let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+            let listener = TcpListener::bind(crate::own_address()).expect("a port");
             let address = listener.local_addr().expect("bound");
             let mood = Mood::Answers(Duration::ZERO);
             nodes.push(Node { id: *id, address, listener: Some(listener), mood, copies: HashMap::new() });
