--- a/front/src/program/members.rs
+++ b/front/src/program/members.rs
@@ -425,6 +425,7 @@
             deadline: 60_000_000,
             fill: None,
             seen: None,
+            key: None,
             write: false,
             body: b"".as_slice().into(),
         }
--- a/front/src/protocol/client.rs
+++ b/front/src/protocol/client.rs
@@ -11,7 +11,7 @@
 const BODY_MOST: usize = 48_000;
 /// KB that a client may say an object has; far more than any that is served, and no sum of them overflows.
 const SIZE_MOST: f64 = 1e9;
-/// Letters and digits of a tag at most.
+/// Letters and digits of a tag or a key at most.
 const TAG_MOST: usize = 64;
 
 /// A frame from a client.
@@ -51,7 +51,7 @@
     let mut cursor = Cursor(payload);
     let count = cursor.u8().ok_or("fields cut off")?;
     let (mut class, mut txn, mut limit, mut item, mut have) = (None, None, None, None, None);
-    let (mut part, mut group, mut size_kb) = (0, 0, 0.0);
+    let (mut part, mut group, mut size_kb, mut key) = (0, 0, 0.0, None);
     for _ in 0..count {
         let name = cursor.u8().and_then(|n| cursor.bytes(n.into())).ok_or("field name cut off")?;
         let value = cursor.u16().and_then(|n| cursor.bytes(n.into())).ok_or("field value cut off")?;
@@ -72,12 +72,8 @@
                 group = number(value).filter(|g| *g < 256).ok_or("group is no number below 256")?;
             }
             b"ram" => size_kb = size(value).ok_or("ram is no size in KB")?,
-            // It goes into a list of fields between commas.
-            b"have" => {
-                let bare = (1..=TAG_MOST).contains(&value.len());
-                let bare = bare && value.bytes().all(|b| b.is_ascii_alphanumeric());
-                have = Some(bare.then(|| value.into()).ok_or("have is no bare tag")?);
-            }
+            b"have" => have = Some(bare(value).ok_or("have is no bare tag")?),
+            b"unique" => key = Some(bare(value).ok_or("unique is no bare key")?),
             _ => {}
         }
     }
@@ -93,10 +89,17 @@
         group,
         size_kb,
         have,
+        key,
         body: cursor.0.into(),
     })
 }
 
+/// Letters and digits alone: it goes into a list of fields between commas.
+fn bare(value: &str) -> Option<Rc<str>> {
+    let fits = (1..=TAG_MOST).contains(&value.len()) && value.bytes().all(|b| b.is_ascii_alphanumeric());
+    fits.then(|| value.into())
+}
+
 /// Digits and nothing else: no sign, as the standard library would allow.
 fn number(text: &str) -> Option<u32> {
     text.bytes().all(|b| b.is_ascii_digit()).then(|| text.parse().ok()).flatten()
@@ -174,6 +177,7 @@
             ("group", "17"),
             ("ram", "412.5"),
             ("have", "4be0c1927d55a6f3"),
+            ("unique", "09c73d25ce9e55c8f6f6fd00cb6a8bae"),
             ("odd", "x"),
         ];
         let whole = request(&fields, b"body");
@@ -201,6 +205,8 @@
         };
         let told =
             [bad("txn", "+b1f03aa5c7e2d41"), bad("limit", "-1"), bad("group", "256"), bad("have", "a,b")];
+        // It would become fields of its own towards a node.
+        assert_eq!(bad("unique", "a,from=s-00000001"), "unique is no bare key");
         // The standard library would take a sign; members would not read a tag or a body of any length.
         for (name, value) in
             [("part", "+1"), ("limit", ""), ("part", "4294967296"), ("have", &"a".repeat(65))]
--- a/front/src/protocol/member.rs
+++ b/front/src/protocol/member.rs
@@ -50,6 +50,10 @@
             fields += &format!(",mode={}", words.join("+"));
         }
     }
+    // Guards the rule of effects: without it a node can't tell a repeat from another request.
+    if let Some(key) = &fetch.key {
+        fields += &format!(",nonce={key}");
+    }
     if let Some(seen) = &fetch.seen {
         fields += &format!(",seen={seen}");
     }
@@ -123,7 +127,7 @@
     let fields = std::str::from_utf8(fields).map_err(|_| Unreadable("fields are no text"))?;
     for (name, value) in fields.split(',').filter_map(|f| f.split_once('=')) {
         match name {
-            "ver" => reply.tagged = !value.is_empty(),
+            "ver" => reply.tag = Some(value).filter(|tag| !tag.is_empty()).map(Into::into),
             "born" => reply.born = value.parse().ok(),
             "tags" => reply.tags = Some(value.into()),
             "tell" => reply.note = note(value),
@@ -181,6 +185,7 @@
             deadline: 1_250_000,
             fill: Some(fill),
             seen: Some("4be0".into()),
+            key: Some("09c7".into()),
             write: false,
             body: b"".as_slice().into(),
         };
@@ -190,6 +195,7 @@
         };
         let read = text(&ask);
         (ask.fill, ask.seen, ask.body) = (None, None, b"car".as_slice().into());
+        ask.key = None;
         let aborted = String::from_utf8(abort(txn).head).unwrap();
         insta::assert_debug_snapshot!([read, text(&ask), aborted]);
     }
@@ -224,7 +230,7 @@
             let n = fields.len();
             let answer = format!("*4\r\n$1\r\na\r\n$3\r\nHIT\r\n${n}\r\n{fields}\r\n$0\r\n\r\n");
             let (_, reply, _) = decode(answer.as_bytes()).unwrap().unwrap();
-            assert_eq!(reply.tagged && reply.born.is_some(), named, "{fields}");
+            assert_eq!(reply.tag.is_some() && reply.born.is_some(), named, "{fields}");
         }
     }
 }
--- a/front/src/routing/book.rs
+++ b/front/src/routing/book.rs
@@ -51,8 +51,17 @@
         );
     }
 
-    /// An answer from a copy that is older than a purge is none, whatever the member says.
+    /// An answer from a copy that is older than a purge is none, whatever the member says; nor is one that calls current what
+    /// is not the client's copy.
     fn judged(&mut self, now: Time, id: RequestId, from: MemberId, end: End) -> End {
+        let spoilt = |open: &Open, reply: &MemberReply| {
+            reply.word == Word::Valid && (open.write || open.ask.have.as_deref() != reply.tag.as_deref())
+        };
+        if let (End::Reply(reply), Some(open)) = (&end, self.open.get(&id)) {
+            if spoilt(open, reply) {
+                return End::Reply(MemberReply { word: Word::Fault, ..reply.clone() });
+            }
+        }
         let open = self.open.get(&id).filter(|open| !open.write);
         let (End::Reply(reply), Some((floors, open))) = (&end, self.floors.as_mut().zip(open)) else {
             return end;
--- a/front/src/routing/send.rs
+++ b/front/src/routing/send.rs
@@ -63,6 +63,7 @@
             deadline,
             fill,
             seen: open.ask.have.clone(),
+            key: open.ask.key.clone(),
             write: open.write,
             body: Rc::clone(&open.ask.body),
         };
--- a/front/src/routing/tests.rs
+++ b/front/src/routing/tests.rs
@@ -18,6 +18,7 @@
         group: 0,
         size_kb: 0.0,
         have: None,
+        key: None,
         body: b"keys".as_slice().into(),
     };
     (ReplyTo { client: 2, stream: n as u32 }, ask)
--- a/front/src/routing/types.rs
+++ b/front/src/routing/types.rs
@@ -9,7 +9,7 @@
 impl MemberReply {
     /// Whether it serves from a copy that it does not name, as no member's good answer does.
     pub fn nameless(&self) -> bool {
-        matches!(self.word, Word::Hit | Word::Valid) && !(self.tagged && self.born.is_some())
+        matches!(self.word, Word::Hit | Word::Valid) && !(self.tag.is_some() && self.born.is_some())
     }
 }
 
@@ -46,6 +46,8 @@
     pub size_kb: f64,
     /// The tag of the copy that the client holds.
     pub have: Option<Rc<str>>,
+    /// The key by which nodes know repeats of a request, where its class has one.
+    pub key: Option<Rc<str>>,
     pub body: Rc<[u8]>,
 }
 
@@ -112,6 +114,8 @@
     pub deadline: Time,
     pub fill: Option<Source>,
     pub seen: Option<Rc<str>>,
+    /// Passed on as it came.
+    pub key: Option<Rc<str>>,
     /// It runs at the origin and leaves no copy.
     pub write: bool,
     pub body: Rc<[u8]>,
@@ -138,8 +142,9 @@
     pub body: Rc<[u8]>,
     pub note: Note,
     pub waited: Span,
-    /// It names the copy's tag, and when the origin gave it out.
-    pub tagged: bool,
+    /// The copy's tag, as it names it.
+    pub tag: Option<Box<str>>,
+    /// When the origin gave the copy out.
     /// Unix milliseconds.
     pub born: Option<u64>,
     /// Tags of the object, between semicolons, where the member names them (`docs/protocol.md`).
--- a/front/tests/common/mod.rs
+++ b/front/tests/common/mod.rs
@@ -228,6 +228,24 @@
     Link(BufReader::new(guarded(at.accept().unwrap().0)))
 }
 
+/// The front's next connection to whichever of the nodes, and which: the origin is the last.
+pub fn any_link(stage: &Stage) -> (usize, Link) {
+    let all = [&stage.caches[0], &stage.caches[1], &stage.origin];
+    all.iter().for_each(|at| at.set_nonblocking(true).unwrap());
+    let by = std::time::Instant::now() + GUARD;
+    loop {
+        for (i, at) in all.iter().enumerate() {
+            if let Ok((stream, _)) = at.accept() {
+                all.iter().for_each(|at| at.set_nonblocking(false).unwrap());
+                stream.set_nonblocking(false).unwrap();
+                return (i, Link(BufReader::new(guarded(stream))));
+            }
+        }
+        assert!(std::time::Instant::now() < by, "no connection comes");
+        std::thread::yield_now();
+    }
+}
+
 impl Link {
     fn line(&mut self) -> Option<usize> {
         let mut line = String::new();
