--- a/front/src/program/feed.rs
+++ b/front/src/program/feed.rs
@@ -14,6 +14,8 @@
 const BEHIND_MOST: Span = 3_000_000;
 /// Bytes that one read takes at most.
 const READ_MOST: usize = 16 * 1024;
+/// Reads in one turn: a service that tells without end keeps neither timers nor clients waiting.
+const READS_MOST: usize = 8;
 
 /// Follows the feed from the last event that is known.
 #[derive(Debug)]
@@ -143,7 +145,8 @@
             stream.rewatch(true)?;
             self.due = now + SILENCE_MOST;
         }
-        while let Some(n) = stream.fill(&mut self.scratch)? {
+        for _ in 0..READS_MOST {
+            let Some(n) = stream.fill(&mut self.scratch)? else { break };
             if n == 0 {
                 return Err(io::ErrorKind::UnexpectedEof.into());
             }
--- a/front/src/program/members.rs
+++ b/front/src/program/members.rs
@@ -14,12 +14,17 @@
 const IDLE_SHARE: f64 = 0.5;
 /// For how long, or up to twice that, a connection remembers an id that it carried: answers to it may still come.
 const CARRIED: Span = 10_000_000;
-/// Bytes that one read takes at most.
+/// Bytes that one read takes at most, and reads of one connection in one turn: a node that sends without end keeps neither
+/// timers nor the feed waiting.
 const READ_MOST: usize = 64 * 1024;
+const READS_MOST: usize = 4;
+/// Answers to nothing that is open that a connection may bring beyond two for each id that it carried: one late and one
+/// twice. More of them end it, or they would come for ever.
+const STRAYS_MOST: usize = 16;
 /// An answer of which nothing more comes for this long is broken off, and whatever is behind it with it.
 const PART_MOST: Span = 500_000;
 
-/// A connection on which nothing came for this long, up to when an attempt is given up, gets no other.
+/// A connection on which attempts that were given up waited for this long in all, and nothing came, gets no other.
 const SILENT_MOST: Span = 1_000_000;
 
 /// Attempts that ended.
@@ -35,6 +40,8 @@
     source: Option<MemberId>,
     /// All of it.
     written: bool,
+    /// It is not begun to be written later than this.
+    by: Time,
 }
 
 #[derive(Debug)]
@@ -49,16 +56,31 @@
     idle_since: Time,
     /// When something came here last.
     heard: Time,
+    /// Since when part of an answer is here that is not whole yet.
+    begun: Option<Time>,
+    /// For how long attempts waited here that were given up, since something came.
+    vain: Span,
+    /// Answers that came here to nothing that was open.
+    strays: usize,
 }
 
 impl Link {
     fn new(now: Time, member: MemberId, stream: Stream<Option<Txn>>) -> Self {
         let (open, carried) = (HashMap::new(), Carried::default());
-        Link { stream, member, up: false, retired: false, open, carried, idle_since: now, heard: now }
+        let (idle_since, heard, begun, vain, strays) = (now, now, None, 0, 0);
+        let (up, retired) = (false, false);
+        Link { stream, member, up, retired, open, carried, idle_since, heard, begun, vain, strays }
     }
 
     fn takes(&self, txn: &Txn, streams: usize) -> bool {
-        !self.retired && !self.carried.has(txn) && self.open.len() < streams
+        !self.retired && !self.carried.has(txn) && self.open.len() < streams && !self.blocked()
+    }
+
+    /// Whether the rest of an answer that nobody waits for has still to come, and everything else behind it.
+    fn blocked(&self) -> bool {
+        let input = self.stream.input();
+        let whose = || member::begun_id(input).and_then(|id| Txn::new(std::str::from_utf8(id).ok()?));
+        !input.is_empty() && (self.open.is_empty() || whose().is_some_and(|txn| !self.open.contains_key(&txn)))
     }
 }
 
@@ -76,6 +98,10 @@
         self.new.contains(txn) || self.old.contains(txn)
     }
 
+    fn len(&self) -> usize {
+        self.new.len() + self.old.len()
+    }
+
     fn add(&mut self, now: Time, txn: Txn) {
         if now > self.since + CARRIED {
             (self.old, self.since) = (std::mem::take(&mut self.new), now);
@@ -96,6 +122,8 @@
     links_most: usize,
     streams: usize,
     idle: Span,
+    /// An answer that is begun is whole after this long, or nobody waits for it any more.
+    whole: Span,
     /// Commands that were written whole.
     pub written: u64,
     /// Bytes held on all connections.
@@ -106,8 +134,8 @@
 }
 
 impl Members {
-    /// Holds up to `links_most` connections, each with up to `streams` attempts.
-    pub fn new(links_most: usize, streams: usize, idle: Span) -> Self {
+    /// Holds up to `links_most` connections, each with up to `streams` attempts; nobody waits for an answer longer than `whole`.
+    pub fn new(links_most: usize, streams: usize, idle: Span, whole: Span) -> Self {
         Members {
             links: HashMap::new(),
             of: HashMap::new(),
@@ -116,6 +144,7 @@
             links_most,
             streams,
             written: 0,
+            whole,
             idle: (idle as f64 * IDLE_SHARE) as Span,
             held: 0,
             paused: false,
@@ -153,6 +182,7 @@
             for link in self.links.values_mut().filter(|l| l.up) {
                 drop(link.stream.rewatch(!paused));
                 link.heard = link.heard.max(now);
+                link.begun = link.begun.map(|_| now);
             }
         }
     }
@@ -203,23 +233,46 @@
             .count()
     }
 
-    /// Puts an attempt on a connection; `key` is for a new one. Returns the key if a connection was begun.
+    /// The connection to a member that is best for this id.
+    fn choose(&self, to: MemberId, txn: &Txn) -> Option<usize> {
+        let keys = self.of.get(&to)?.iter();
+        let fit = keys.filter_map(|key| self.links.get(key).map(|link| (key, link)));
+        let fit = fit.filter(|(_, link)| link.takes(txn, self.streams));
+        fit.min_by_key(|(key, link)| (link.open.len(), !link.up, **key)).map(|(key, _)| *key)
+    }
+
+    /// The same, once what has come on one that carried nothing is taken in. Guards against commands that are written into the
+    /// end of a connection: its other side may have closed it, which is not told of yet.
+    fn choose_live(&mut self, now: Time, to: MemberId, txn: &Txn, ends: &mut Ends) -> Option<usize> {
+        loop {
+            let key = self.choose(to, txn)?;
+            if !self.links.get(&key).is_some_and(|link| link.up && link.open.is_empty()) {
+                return Some(key);
+            }
+            match self.read(now, key, ends) {
+                Ok(()) if self.links.get(&key).is_some_and(|link| link.takes(txn, self.streams)) => return Some(key),
+                Ok(()) => {}
+                Err(e) => self.fail(key, &e.to_string(), ends),
+            }
+        }
+    }
+
+    /// Puts an attempt on a connection; `key` is for a new one. It is not begun to be written later than `by`. Returns the key
+    /// if a connection was begun.
     pub fn send(
         &mut self,
         now: Time,
         reactor: &Reactor,
         key: usize,
-        (attempt, to): (AttemptId, MemberId),
+        (attempt, to, by): (AttemptId, MemberId, Time),
         fetch: &Fetch,
         ends: &mut Ends,
     ) -> Option<usize> {
+        let mut chosen = self.choose_live(now, to, &fetch.txn, ends);
+        let carries = |key: &usize| self.links.get(key).map_or(0, |link| link.open.len());
+        let calm = chosen.as_ref().is_some_and(|key| carries(key) < STREAMS_CALM);
         let keys = self.of.entry(to).or_default();
         let most = (self.links_most / self.listed.len().max(1)).max(2);
-        let fit = keys.iter().filter_map(|key| self.links.get(key).map(|link| (key, link)));
-        let fit = fit.filter(|(_, link)| link.takes(&fetch.txn, self.streams));
-        let best = fit.min_by_key(|(key, link)| (link.open.len(), !link.up, **key)).map(|(key, l)| (*key, l));
-        let calm = best.as_ref().is_some_and(|(_, link)| link.open.len() < STREAMS_CALM);
-        let mut chosen = best.map(|(key, _)| key);
         let (mut begun, mut end) = (None, End::Unplaced);
         // Those to an earlier process may stay silent for long and must not keep a new one from being reached.
         let live = keys.iter().filter(|key| self.links.get(key).is_some_and(|l| !l.retired)).count();
@@ -242,7 +295,7 @@
         };
         link.carried.add(now, fetch.txn);
         let source = fetch.fill.and_then(|fill| fill.source);
-        link.open.insert(fetch.txn, Sent { attempt, since: now, write: fetch.write, source, written: false });
+        link.open.insert(fetch.txn, Sent { attempt, since: now, write: fetch.write, source, written: false, by });
         link.stream.push(member::fetch(fetch, now));
         self.at.insert(attempt, (key, fetch.txn));
         self.flush(now, key, ends);
@@ -255,8 +308,11 @@
         let Some(link) = self.links.get_mut(&key) else { return };
         let sent = link.open.remove(&txn);
         link.idle_since = now;
-        // An answer that never comes leaves a connection that is of no further use, open as it may be.
-        link.retired |= sent.is_some_and(|sent| link.heard < sent.since && now > sent.since + SILENT_MOST);
+        // An answer that never comes leaves a connection that is of no further use, open as it may be. Where clients wait for
+        // less than that, it takes more than one of them to tell.
+        let vain = sent.filter(|sent| link.heard < sent.since).map(|sent| now.saturating_sub(sent.since));
+        link.vain += vain.unwrap_or(0);
+        link.retired |= link.vain > SILENT_MOST;
         if link.stream.take_back(|tag| *tag == Some(txn)) {
             return;
         }
@@ -275,6 +331,15 @@
         self.take_back(attempt, End::Unsent { along: false }, ends);
     }
 
+    /// A connection has come up: what had to be written before now is not written any more. Guards against a turn that comes
+    /// late, in which the connection is told of before the moments that have passed.
+    fn too_late(&mut self, now: Time, key: usize, ends: &mut Ends) {
+        let Some(link) = self.links.get(&key) else { return };
+        let mut late: Vec<_> = link.open.values().filter(|s| s.by < now).map(|s| s.attempt).collect();
+        late.sort_unstable();
+        late.into_iter().for_each(|attempt| self.take_back(attempt, End::Unplaced, ends));
+    }
+
     /// A member drains, is gone or was taken out: what was decided before and waits for its connection goes neither to it
     /// nor, by way of another, to it as a source. Guards the rule on drains: a connection may come up later than new work
     /// is allowed there. It says nothing of any member.
@@ -316,6 +381,7 @@
             if !link.up {
                 return;
             }
+            self.too_late(now, key, ends);
         }
         self.flush(now, key, ends);
         if let Some(e) = readable.then(|| self.read(now, key, ends).err()).flatten() {
@@ -324,11 +390,12 @@
     }
 
     fn read(&mut self, now: Time, key: usize, ends: &mut Ends) -> io::Result<()> {
-        while let Some(link) = self.links.get_mut(&key) {
+        for _ in 0..READS_MOST {
+            let Some(link) = self.links.get_mut(&key) else { break };
             match link.stream.fill(&mut self.scratch)? {
                 None => break,
                 Some(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
-                Some(_) => link.heard = now,
+                Some(_) => (link.heard, link.vain) = (now, 0),
             }
             loop {
                 let found = member::decode(link.stream.input());
@@ -347,10 +414,18 @@
                 if let Some(sent) = known.and_then(|txn| link.open.remove(&txn)) {
                     self.at.remove(&sent.attempt);
                     ends.push((sent.attempt, End::Reply(reply)));
+                    link.idle_since = now;
+                } else {
+                    link.strays += 1;
+                    if link.strays > STRAYS_MOST + 2 * link.carried.len() {
+                        return Err(io::ErrorKind::InvalidData.into());
+                    }
                 }
                 link.stream.consume(used);
-                link.idle_since = now;
+                link.begun = None;
             }
+            let begun = !link.stream.input().is_empty();
+            link.begun = begun.then(|| link.begun.unwrap_or(now));
             link.stream.count(&mut self.held);
             // One read is made all the same: the end of a connection is told though it is not watched, and would
             // be told again and again.
@@ -400,7 +475,8 @@
     /// Closes connections that stopped in the middle of an answer, and those that carry nothing and are old or
     /// not to be used again.
     pub fn sweep(&mut self, now: Time, ends: &mut Ends) {
-        let part = |l: &Link| !self.paused && !l.stream.input().is_empty() && now > l.heard + PART_MOST;
+        let short = |l: &Link| now > l.heard + PART_MOST || l.begun.is_some_and(|at| now > at + self.whole);
+        let part = |l: &Link| !self.paused && !l.stream.input().is_empty() && short(l);
         let part: Vec<_> = self.links.iter().filter(|(_, l)| part(l)).map(|(key, _)| *key).collect();
         part.into_iter().for_each(|key| self.fail(key, "an answer stops short", ends));
         let over = |l: &Link| l.open.is_empty() && (l.retired || now > l.idle_since + self.idle);
@@ -423,6 +499,7 @@
             item: None,
             part: 0,
             deadline: 60_000_000,
+            latest: Time::MAX,
             fill: None,
             seen: None,
             key: None,
@@ -435,7 +512,7 @@
 
     /// One member behind a listener, and up to so many connections.
     fn members(links_most: usize, listener: &std::net::TcpListener) -> Members {
-        let mut members = Members::new(links_most, 100, 15_000_000);
+        let mut members = Members::new(links_most, 100, 15_000_000, 5_000_000);
         let state = Listed::Ready;
         let entry = Entry { member: MEMBER, kind: 0, zone: 0, cell: 0, weight: 1.0, started: 0, state };
         members.list(&entry, listener.local_addr().unwrap());
@@ -452,10 +529,10 @@
         let (reactor, mut ends) = (Reactor::new().unwrap(), Vec::new());
         let mut members = members(1, &listener);
         for n in 1..=3 {
-            members.send(0, &reactor, 9, (attempt(n), MEMBER), &fetch(n), &mut ends);
+            members.send(0, &reactor, 9, (attempt(n), MEMBER, Time::MAX), &fetch(n), &mut ends);
         }
         // The same id can't go out twice there, and there is no other connection to be had.
-        members.send(0, &reactor, 9, (attempt(4), MEMBER), &fetch(3), &mut ends);
+        members.send(0, &reactor, 9, (attempt(4), MEMBER, Time::MAX), &fetch(3), &mut ends);
         assert!(matches!(ends[..], [(_, End::Unplaced)]));
         members.undialed(9, &mut ends);
         let along: Vec<_> = ends[1..].iter().map(|e| matches!(e.1, End::Unsent { along: true })).collect();
@@ -478,7 +555,7 @@
         };
         for n in 1..=3 {
             let fetch = Fetch { fill: Some(source(n)), ..fetch(n) };
-            members.send(0, &reactor, n as usize, (attempt(n), MEMBER), &fetch, &mut ends);
+            members.send(0, &reactor, n as usize, (attempt(n), MEMBER, Time::MAX), &fetch, &mut ends);
         }
         members.leave_out(MemberId(2), &mut ends);
         assert!(matches!(ends[..], [(two, End::Unplaced)] if two == attempt(2)), "{ends:?}");
@@ -498,7 +575,7 @@
         let (reactor, mut ends) = (Reactor::new().unwrap(), Vec::new());
         let mut members = members(9, &listener);
         let mut begins = |now: Time, n: u64, out: Span| {
-            let target = (attempt(n), MEMBER);
+            let target = (attempt(n), MEMBER, Time::MAX);
             let begun = members.send(now, &reactor, n as usize, target, &fetch(n), &mut ends);
             members.abort(now + out, attempt(n), &mut ends);
             begun.is_some()
@@ -569,7 +646,7 @@
     fn any_order(seed: u64, links_most: usize) -> usize {
         let listeners: Vec<_> = (0..2).map(|_| std::net::TcpListener::bind("127.0.0.1:0").unwrap()).collect();
         let mut reactor = Reactor::new().unwrap();
-        let mut members = Members::new(links_most, 100, 15_000_000);
+        let mut members = Members::new(links_most, 100, 15_000_000, 5_000_000);
         for (n, listener) in listeners.iter().enumerate() {
             listener.set_nonblocking(true).unwrap();
             let (member, state) = (MemberId(n as u64 + 1), Listed::Ready);
@@ -595,7 +672,7 @@
                     let id = AttemptId { request: cranesill::api::RequestId(request), number };
                     current.insert(request, id);
                     let fetch = fetch(request);
-                    members.send(now, &reactor, key, (id, MemberId(1 + roll(2))), &fetch, &mut ends);
+                    members.send(now, &reactor, key, (id, MemberId(1 + roll(2)), Time::MAX), &fetch, &mut ends);
                 }
                 0..=5 => {
                     if let Some(id) = current.remove(&request) {
--- a/front/src/program/serve.rs
+++ b/front/src/program/serve.rs
@@ -155,13 +155,14 @@
         let hangup = raised(&reactor, signal_hook::consts::SIGHUP, HANGUP).map_err(failed("signals"))?;
         let shared = config.accept_fd.and_then(|_| share());
         let limits = config.deployment.limits.clone();
+        let whole = limits.waits.iter().copied().max().filter(|w| *w > 0).unwrap_or(KILLED_WITHIN);
         let Known { last, news, list, from } = known(&mut config, daemon.startup.as_ref());
         let calls = calls(clock.now(), &config, daemon.startup.as_ref());
         let others = daemon.startup.as_ref().is_some_and(|s| s.peers.is_some());
         let startup = Startup::new(clock.now(), &config, daemon.startup.as_ref());
         let mut server = Server {
             front: Front::new(config.deployment.clone(), config.seed, config.room()),
-            members: Members::new(config.links_most(), limits.streams, limits.idle),
+            members: Members::new(config.links_most(), limits.streams, limits.idle, whole),
             feed: Feed::new(clock.now(), config.feed, last, calls, others),
             startup,
             hears: false,
@@ -849,15 +850,17 @@
             match command {
                 Command::Send(attempt, to, fetch) => {
                     let key = self.key();
-                    let target = (attempt, to);
-                    let begun = self.members.send(now, &self.reactor, key, target, &fetch, &mut ends);
                     let due = now + self.config.deployment.settings.connect_timeout;
+                    // A purge told meanwhile leaves no more time than that to what was decided before it; a repeat goes out in
+                    // its window or not at all.
+                    let unwritten = due.min(now + self.config.deployment.limits.purge_grace);
+                    let by = unwritten.min(fetch.latest).min(fetch.deadline);
+                    let target = (attempt, to, by);
+                    let begun = self.members.send(now, &self.reactor, key, target, &fetch, &mut ends);
                     if let Some(key) = begun {
                         self.deadlines.add(due, Due::Dial(key));
                     }
-                    // A purge told meanwhile leaves no more time than that to what was decided before it.
-                    let unwritten = due.min(now + self.config.deployment.limits.purge_grace);
-                    self.deadlines.add(unwritten, Due::Unwritten(attempt));
+                    self.deadlines.add(by, Due::Unwritten(attempt));
                 }
                 Command::Abort(attempt) => {
                     self.members.abort(now, attempt, &mut ends);
--- a/front/src/protocol/member.rs
+++ b/front/src/protocol/member.rs
@@ -110,6 +110,13 @@
     Ok(Some((parts, at)))
 }
 
+/// The id of the first answer, as soon as it is here, whole as the rest may be or not.
+pub fn begun_id(input: &[u8]) -> Option<&[u8]> {
+    let (_, at) = length(input, 0, b'*', STRINGS_MOST.len()).ok()??;
+    let (n, begin) = length(input, at, b'$', STRINGS_MOST[0]).ok()??;
+    input.get(begin..begin + n)
+}
+
 /// Takes the first answer off `input`. `None`: it is not whole yet.
 pub fn decode(input: &[u8]) -> Result<Option<Decoded<'_>>, Unreadable> {
     let Some((parts, at)) = parts(input)? else { return Ok(None) };
@@ -183,6 +190,7 @@
             item: Some(item),
             part: 3,
             deadline: 1_250_000,
+            latest: Time::MAX,
             fill: Some(fill),
             seen: Some("4be0".into()),
             key: Some("09c7".into()),
--- a/front/src/routing/book.rs
+++ b/front/src/routing/book.rs
@@ -25,6 +25,9 @@
             End::CalledOff => (Status::Cancelled, Note::None, 0, &[][..]),
             End::Expired => (Status::Timeout, Note::None, 0, &[][..]),
         };
+        if let Some(open) = self.open.get_mut(&id).filter(|_| !status.proves_not_run()) {
+            open.ran = Some(open.ran.map_or(out.sent, |ran| ran.min(out.sent)));
+        }
         let along = matches!(end, End::Unsent { along: true } | End::Broken { along: true });
         let closed = match &end {
             End::Reply(reply) => self.relay(id, reply),
--- a/front/src/routing/mod.rs
+++ b/front/src/routing/mod.rs
@@ -35,6 +35,8 @@
     write: bool,
     /// Attempts sent so far.
     sent: u16,
+    /// When the first was sent that may have run.
+    ran: Option<Time>,
 }
 
 /// An attempt that has not ended.
--- a/front/src/routing/send.rs
+++ b/front/src/routing/send.rs
@@ -1,6 +1,6 @@
 //! Send: an attempt that was decided becomes a fetch for a member.
 use super::*;
-use cranesill::api::Fill;
+use cranesill::api::{Effect, Fill};
 
 impl Front {
     /// Sends an attempt, which is given up at `until` or when the client's time is up; they are numbered in the
@@ -55,12 +55,18 @@
         open.sent += 1;
         self.out.insert(attempt, Out { sent: now, to: target, past });
         let deadline = until.map_or(open.deadline, |until| until.min(open.deadline));
+        // Guards the rule of effects: what was decided within the window may wait for its connection till after it.
+        let latest = match (self.deployment.settings.classes.get(open.class).map(|c| c.effect), open.ran) {
+            (Some(Effect::Keyed { window, .. }), Some(ran)) => ran.saturating_add(window),
+            _ => Time::MAX,
+        };
         let fetch = Fetch {
             txn: open.ask.txn,
             class: open.ask.class.as_str().into(),
             item: open.ask.item.clone(),
             part: open.ask.part,
             deadline,
+            latest,
             fill,
             seen: open.ask.have.clone(),
             key: open.ask.key.clone(),
--- a/front/src/routing/take_in.rs
+++ b/front/src/routing/take_in.rs
@@ -28,7 +28,7 @@
             size_kb: ask.size_kb,
             left: deadline - now,
         };
-        self.admit(now, Open { from, ask: Rc::new(ask), deadline, class, write, sent: 0 }, request);
+        self.admit(now, Open { from, ask: Rc::new(ask), deadline, class, write, sent: 0, ran: None }, request);
     }
 
     /// Nobody waits for this stream any more.
--- a/front/src/routing/types.rs
+++ b/front/src/routing/types.rs
@@ -112,6 +112,8 @@
     pub part: u32,
     /// When the front stops waiting.
     pub deadline: Time,
+    /// A repeat is begun to be written up to then: nodes forget what they would know it by.
+    pub latest: Time,
     pub fill: Option<Source>,
     pub seen: Option<Rc<str>>,
     /// Passed on as it came.
--- a/front/tests/common/mod.rs
+++ b/front/tests/common/mod.rs
@@ -84,6 +84,19 @@
         self.front.wait().unwrap();
     }
 
+    /// Stops the front, lets all of it come about, and lets the front go on: it learns of everything in one turn.
+    pub fn while_stopped(&self, come_about: impl FnOnce()) {
+        self.signal("-STOP");
+        let stat = format!("/proc/{}/stat", self.front.id());
+        // The state is what follows the name in parentheses.
+        let stopped = || std::fs::read_to_string(&stat).unwrap().rsplit(") ").next().unwrap().starts_with('T');
+        while !stopped() {
+            std::thread::yield_now();
+        }
+        come_about();
+        self.signal("-CONT");
+    }
+
     /// Sends the front a signal.
     pub fn signal(&self, name: &str) {
         let pid = self.front.id().to_string();
@@ -228,6 +241,13 @@
     Link(BufReader::new(guarded(at.accept().unwrap().0)))
 }
 
+/// Lets a listener take up no further connection: one comes up once the one that is returned is let go and accepted, by the
+/// system's next try about a second later.
+pub fn fill_up(at: &TcpListener) -> TcpStream {
+    socket2::SockRef::from(at).listen(0).unwrap();
+    TcpStream::connect(at.local_addr().unwrap()).unwrap()
+}
+
 /// The front's next connection to whichever of the nodes, and which: the origin is the last.
 pub fn any_link(stage: &Stage) -> (usize, Link) {
     let all = [&stage.caches[0], &stage.caches[1], &stage.origin];
