--- a/front/src/program/cli.rs
+++ b/front/src/program/cli.rs
@@ -2,6 +2,7 @@
 use super::config::{settings, Config};
 use super::ctl::{self, Ctl};
 use super::serve::Server;
+use super::signals::Early;
 use bpaf::{construct, long, positional, OptionParser, Parser};
 use cranesill_daemon::Daemon;
 use std::path::PathBuf;
@@ -64,6 +65,8 @@
 }
 
 fn serve(Serve { config, settings: own, ops, accept_fd }: Serve) -> Result<(), Vec<String>> {
+    // Before anything is read: a signal that comes while the program starts would end it by the system's own way.
+    let early = Early::new().map_err(|e| vec![format!("signals: {e}")])?;
     let mut config = Config::load(&config)?;
     let daemon = own.as_deref().map_or(Ok(Daemon::default()), settings)?;
     let mut faults = Vec::new();
@@ -78,7 +81,9 @@
         return Err(faults);
     }
     config.reserve(&daemon).map_err(|e| vec![e])?;
-    Server::new(config, daemon, own).and_then(Server::run).map_err(|e| vec![e])
+    let server = Server::new(config, daemon, own).map_err(|e| vec![e])?;
+    early.again().map_err(|e| vec![format!("signals: {e}")])?;
+    server.run().map_err(|e| vec![e])
 }
 
 /// Reads both files as far as they are named; all faults of both are told.
--- a/front/src/program/members.rs
+++ b/front/src/program/members.rs
@@ -80,7 +80,8 @@
     fn blocked(&self) -> bool {
         let input = self.stream.input();
         let whose = || member::begun_id(input).and_then(|id| Txn::new(std::str::from_utf8(id).ok()?));
-        !input.is_empty() && (self.open.is_empty() || whose().is_some_and(|txn| !self.open.contains_key(&txn)))
+        !input.is_empty()
+            && (self.open.is_empty() || whose().is_some_and(|txn| !self.open.contains_key(&txn)))
     }
 }
 
@@ -250,7 +251,9 @@
                 return Some(key);
             }
             match self.read(now, key, ends) {
-                Ok(()) if self.links.get(&key).is_some_and(|link| link.takes(txn, self.streams)) => return Some(key),
+                Ok(()) if self.links.get(&key).is_some_and(|link| link.takes(txn, self.streams)) => {
+                    return Some(key)
+                }
                 Ok(()) => {}
                 Err(e) => self.fail(key, &e.to_string(), ends),
             }
@@ -295,7 +298,8 @@
         };
         link.carried.add(now, fetch.txn);
         let source = fetch.fill.and_then(|fill| fill.source);
-        link.open.insert(fetch.txn, Sent { attempt, since: now, write: fetch.write, source, written: false, by });
+        link.open
+            .insert(fetch.txn, Sent { attempt, since: now, write: fetch.write, source, written: false, by });
         link.stream.push(member::fetch(fetch, now));
         self.at.insert(attempt, (key, fetch.txn));
         self.flush(now, key, ends);
@@ -310,7 +314,7 @@
         link.idle_since = now;
         // An answer that never comes leaves a connection that is of no further use, open as it may be. Where clients wait for
         // less than that, it takes more than one of them to tell.
-        let vain = sent.filter(|sent| link.heard < sent.since).map(|sent| now.saturating_sub(sent.since));
+        let vain = sent.filter(|sent| link.heard <= sent.since).map(|sent| now.saturating_sub(sent.since));
         link.vain += vain.unwrap_or(0);
         link.retired |= link.vain > SILENT_MOST;
         if link.stream.take_back(|tag| *tag == Some(txn)) {
@@ -381,6 +385,7 @@
             if !link.up {
                 return;
             }
+            link.heard = now;
             self.too_late(now, key, ends);
         }
         self.flush(now, key, ends);
@@ -586,6 +591,43 @@
         assert!(begins(3_000_000, 3, 10_000));
     }
 
+    #[test]
+    fn where_clients_wait_for_less_than_silence_takes_to_tell_several_of_them_tell_it() {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let (reactor, mut ends) = (Reactor::new().unwrap(), Vec::new());
+        let mut members = members(9, &listener);
+        let mut begins = |n: u64| {
+            let (now, target) = (n * 500_000, (attempt(n), MEMBER, Time::MAX));
+            let begun = members.send(now, &reactor, n as usize, target, &fetch(n), &mut ends);
+            members.abort(now + 400_000, attempt(n), &mut ends);
+            begun.is_some()
+        };
+        assert_eq!([1, 2, 3, 4].map(&mut begins), [true, false, false, true]);
+    }
+
+    #[test]
+    fn an_answer_that_comes_on_and_on_is_broken_off_once_nobody_can_wait_for_it() {
+        use std::io::Write;
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let (mut reactor, mut ends) = (Reactor::new().unwrap(), Vec::new());
+        let mut members = members(9, &listener);
+        members.send(0, &reactor, 1, (attempt(1), MEMBER, Time::MAX), &fetch(1), &mut ends);
+        let mut node = listener.accept().unwrap().0;
+        let head = format!("*4\r\n$16\r\n{:016x}\r\n$3\r\nHIT\r\n$1\r\n-\r\n$200000\r\n", 1);
+        node.write_all(head.as_bytes()).unwrap();
+        let mut now = 0;
+        // A few bytes come four times a second; those who ask wait for 5 s.
+        while members.has(1) && now < 60_000_000 {
+            now += 250_000;
+            node.write_all(b"more").unwrap();
+            while !reactor.wait(0, Some(20_000_000)).unwrap().iter().any(|(_, readable, _)| *readable) {}
+            members.ready(now, 1, true, &mut ends);
+            members.sweep(now, &mut ends);
+        }
+        assert!((5_000_000..6_000_000).contains(&now), "{now}");
+        assert!(matches!(ends[..], [(_, End::Broken { .. })]), "{ends:?}");
+    }
+
     /// A node's end of one connection: what came on it, and what is open there by that.
     struct Far {
         socket: std::net::TcpStream,
@@ -672,7 +714,14 @@
                     let id = AttemptId { request: cranesill::api::RequestId(request), number };
                     current.insert(request, id);
                     let fetch = fetch(request);
-                    members.send(now, &reactor, key, (id, MemberId(1 + roll(2)), Time::MAX), &fetch, &mut ends);
+                    members.send(
+                        now,
+                        &reactor,
+                        key,
+                        (id, MemberId(1 + roll(2)), Time::MAX),
+                        &fetch,
+                        &mut ends,
+                    );
                 }
                 0..=5 => {
                     if let Some(id) = current.remove(&request) {
--- a/front/src/program/mod.rs
+++ b/front/src/program/mod.rs
@@ -3,6 +3,7 @@
 mod clients;
 mod config;
 mod ctl;
+mod drain;
 mod drivers;
 mod feed;
 mod floors;
@@ -10,6 +11,7 @@
 mod members;
 mod serve;
 mod shared;
+mod signals;
 mod startup;
 
 pub use cli::run;
--- a/front/src/routing/book.rs
+++ b/front/src/routing/book.rs
@@ -85,6 +85,19 @@
         }
     }
 
+    /// The front ends: whoever still waits is answered now. Only what can't have run is refused, so that trying again does no
+    /// harm.
+    pub fn give_up(&mut self, now: Time) {
+        let mut open: Vec<_> = self.open.iter().map(|(id, open)| (*id, open.ran.is_some())).collect();
+        open.sort_unstable();
+        for (id, ran) in open {
+            let out = self.out.keys().any(|attempt| attempt.request == id);
+            let answer = if ran || out { Answer::Failed } else { Answer::Refused(self.later()) };
+            self.conclude(id, answer);
+            self.tell(now, Event::Gone(id));
+        }
+    }
+
     /// Guards the rule that every request is answered: whatever the decisions wait for, the client's time is
     /// up.
     pub(super) fn overdue(&mut self, now: Time, id: RequestId) {
--- a/front/src/routing/take_in.rs
+++ b/front/src/routing/take_in.rs
@@ -28,7 +28,20 @@
             size_kb: ask.size_kb,
             left: deadline - now,
         };
-        self.admit(now, Open { from, ask: Rc::new(ask), deadline, class, write, sent: 0, ran: None }, request);
+        self.admit(
+            now,
+            Open { from, ask: Rc::new(ask), deadline, class, write, sent: 0, ran: None },
+            request,
+        );
+    }
+
+    /// Whether an attempt of what was asked on this stream is out.
+    pub fn is_out(&self, from: ReplyTo) -> bool {
+        let id = self.asked.get(&from);
+        let last = id.and_then(|id| Some((*id, self.open.get(id)?.sent)));
+        last.is_some_and(|(request, sent)| {
+            (0..sent).any(|number| self.out.contains_key(&AttemptId { request, number }))
+        })
     }
 
     /// Nobody waits for this stream any more.
--- a/front/src/transport/stream.rs
+++ b/front/src/transport/stream.rs
@@ -112,6 +112,11 @@
         }
     }
 
+    /// Whether something has come that is not read from the system yet.
+    pub fn unread(&self) -> bool {
+        matches!(self.socket.peek(&mut [0; 1]), Ok(n) if n > 0)
+    }
+
     /// The input that is not consumed yet.
     pub fn input(&self) -> &[u8] {
         &self.input[self.consumed..]
