--- a/front/tests/races.rs
+++ b/front/tests/races.rs
@@ -747,3 +747,74 @@
         assert_eq!(asked.lock().unwrap().len(), out, "there is room, and nobody waits for it");
     }
 }
+
+#[test]
+fn what_waited_past_its_time_is_not_sent_on_by_a_turn_that_comes_late() {
+    let stage = Stage::new(|config| {
+        for node in config["known"]["events"][0]["members"]["instances"].as_array_mut().unwrap() {
+            node["weight"] = 1.into();
+        }
+    });
+    let asked = Asked::default();
+    stage.caches.iter().chain([&stage.origin]).for_each(|at| noted(at, &asked));
+    let (mut first, mut late) = (stage.client(), stage.client());
+    let mut begun = Instant::now();
+    // The first ones take the room that there is.
+    for (n, client, limit, asks) in [(1, &mut first, "20000", 6), (2, &mut late, "1500", 30)] {
+        begun = Instant::now();
+        for stream in 1..=asks {
+            let txn = format!("{:016x}", n * 100 + stream);
+            client.ask(stream, "page-bits", limit, &[("txn", &txn), ("part", &stream.to_string())], b"");
+        }
+        client.send(20, 99, &[0]);
+        while !client.hear().unwrap().starts_with("type 21") {}
+    }
+    let out = || asked.lock().unwrap().iter().map(|(id, _)| id.clone()).collect::<Vec<_>>();
+    let waits = |n: u32| !out().contains(&format!("{:016x}", 200 + n));
+    stage.while_stopped(|| {
+        while begun.elapsed() < Duration::from_millis(1_600) {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        assert!((1..=30).all(waits), "they wait for room");
+        for (id, stream) in &mut *asked.lock().unwrap() {
+            stream.write_all(answer(id, "room").as_bytes()).unwrap();
+        }
+    });
+    // All of them are answered: their time is over.
+    let answers = (0..30).map(|_| late.hear().unwrap()).collect::<Vec<_>>();
+    assert!(answers.iter().all(|told| told.starts_with("type 11")));
+    std::thread::sleep(SEEN);
+    assert!((1..=30).all(waits), "{:?}", out());
+}
+
+#[test]
+fn processes_of_a_hand_over_that_are_told_to_end_in_any_order_end_and_whoever_is_left_serves() {
+    let stage = Stage::new(|_| {});
+    stage.caches.iter().chain([&stage.origin]).for_each(|member| drop(desk::answering(member)));
+    let held = desk::Held::new(&stage.config);
+    let at = held.listener.local_addr().unwrap();
+    let asks = |stream: u32| {
+        let mut client = Client(TcpStream::connect(at).unwrap());
+        client.ask(stream, "page-bits", "20000", &[], b"");
+        client.hear().unwrap().contains("bytes")
+    };
+    let (mut old, _) = held.start();
+    until(&old.log, "accepts clients");
+    let (mut waits, _) = held.start();
+    until(&waits.log, "waits for another process");
+    // The one that waits is told first: the other one serves as before.
+    waits.signal("-TERM");
+    assert_eq!(waits.front.wait().unwrap().code(), Some(0));
+    assert!(asks(1));
+    // The one that serves and one that waits are told at once: a third takes over.
+    let (mut both, _) = held.start();
+    until(&both.log, "waits for another process");
+    let (third, _) = held.start();
+    until(&third.log, "waits for another process");
+    [&old, &both].iter().for_each(|process| process.signal("-TERM"));
+    until(&third.log, "accepts clients");
+    assert!(asks(2));
+    let codes = [&mut old, &mut both].map(|process| process.front.wait().unwrap().code());
+    assert_eq!(codes, [Some(0); 2]);
+    assert!(asks(3));
+}
--- a/tests/deployments.rs
+++ b/tests/deployments.rs
@@ -21,9 +21,10 @@
     let classes = (0..1 + dice.roll(6)).map(|_| {
         let effect = match dice.roll(6) {
             0 => Effect::Unsafe,
-            1 => Effect::Keyed { group: KeyGroup::Zone, window: dice.roll(5) * S },
-            2 => Effect::Keyed { group: KeyGroup::All, window: 1 + dice.roll(5) * S },
-            3 => Effect::Keyed { group: KeyGroup::Cell, window: S },
+            // Windows shorter than any deadline, and longer.
+            1 => Effect::Keyed { group: KeyGroup::Zone, window: dice.roll(5_000) * MS },
+            2 => Effect::Keyed { group: KeyGroup::All, window: 1 + dice.roll(5_000) * MS },
+            3 => Effect::Keyed { group: KeyGroup::Cell, window: 50 * MS + dice.roll(950) * MS },
             _ => Effect::Safe,
         };
         let fresh = dice.roll(3) * 6 * S;
@@ -211,13 +212,10 @@
     assert!(served > 10_000 && sent > 50_000, "the peers must do something: {served} served, {sent} sent");
 }
 
-/// Product code knows no operator and no site: whatever it does follows from settings and lists.
-#[test]
-fn no_product_code_names_an_operator_or_a_site() {
-    let names = ["himal", "kinfolk", "branch-media", "album-edge", "car-video", "page-bits", "book-car"];
-    let more = ["video-parts", "share-post", "std-box", "small-box", "east-hub", "north-hub"];
+/// Files below a folder of the project, but for those that are no part of what ships.
+fn files(folder: &str, wanted: impl Fn(&str) -> bool) -> Vec<std::path::PathBuf> {
     let mut files = Vec::new();
-    let mut folders = vec![std::path::PathBuf::from(env!("CARGO_MANIFEST_DIR"))];
+    let mut folders = vec![std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join(folder)];
     while let Some(folder) = folders.pop() {
         for entry in std::fs::read_dir(folder).unwrap().map(|e| e.unwrap().path()) {
             let name = entry.file_name().unwrap().to_string_lossy().into_owned();
@@ -226,17 +224,51 @@
                 && !name.starts_with('.')
             {
                 folders.push(entry);
-            } else if name.ends_with(".rs") && !name.ends_with("tests.rs") {
+            } else if wanted(&name) {
                 files.push(entry);
             }
         }
     }
-    assert!(files.len() > 60, "{} files", files.len());
-    for file in files {
-        let text = std::fs::read_to_string(&file).unwrap().to_lowercase();
+    files
+}
+
+/// What operators call their classes, kinds, zones and sites, from the files of the variants and of the examples.
+fn names_of_deployments() -> Vec<String> {
+    let mut names = Vec::new();
+    for file in files("deploy/sites", |name| name.ends_with(".toml")) {
+        let text = std::fs::read_to_string(file).unwrap();
+        // Behind the troubles come the simulator's own words.
+        let own = text.split("[[trouble").next().unwrap();
+        for line in own.lines().filter(|l| l.starts_with("name = ") || l.starts_with("zones = ")) {
+            names.extend(line.split('"').skip(1).step_by(2).map(String::from));
+        }
+    }
+    names
+}
+
+/// Product code and the deploy file know no operator and no site: whatever they do follows from settings and lists.
+#[test]
+fn no_product_code_names_an_operator_or_a_site() {
+    let names = ["himal", "kinfolk", "branch-media", "album-edge", "car-video", "page-bits", "book-car"];
+    let more = ["video-parts", "share-post", "std-box", "small-box", "east-hub", "north-hub"];
+    let other = ["bengal", "doc-cache", "edge-cache", "coast-hub", "hill-lodges", "quay-papers"];
+    let own = names_of_deployments();
+    assert!(own.len() > 15, "{own:?}");
+    let product = files("", |name| name.ends_with(".rs") && !name.ends_with("tests.rs"));
+    assert!(product.len() > 60, "{} files", product.len());
+    let deploy = files("deploy", |name| {
+        name == "balancer.toml" || name.ends_with("daemon.json") || name == "fleet.json"
+    });
+    assert_eq!(deploy.len(), 3);
+    for file in product.iter().chain(&deploy) {
+        let text = std::fs::read_to_string(file).unwrap().to_lowercase();
         let product = text.split("#[cfg(test)]\nmod tests {").next().unwrap();
-        for name in names.iter().chain(&more) {
+        for name in names.iter().chain(&more).chain(&other) {
             assert!(!product.contains(name), "{} names {name}", file.display());
         }
+        // Some of theirs are words of every day: as a text of their own they would be a name.
+        for name in &own {
+            assert!(!product.contains(&format!("\"{name}\"")), "{} names {name}", file.display());
+        }
     }
 }
