--- /dev/null
+++ b/certs/src/http/tests.rs
@@ -0,0 +1,81 @@
+use super::*;
+
+fn cut(bytes: &[u8], at: usize) -> Result<Option<Answer>, &'static str> {
+    let mut reader = Reader::new(Method::Get, 100);
+    match reader.feed(&bytes[..at])? {
+        Some(answer) => Ok(Some(answer)),
+        None => reader.feed(&bytes[at..]),
+    }
+}
+
+#[test]
+fn an_answer_is_the_same_however_its_bytes_are_cut() {
+    let texts: [&[u8]; 3] = [
+        b"HTTP/1.1 200 OK\r\nReplay-Nonce: n1\r\nContent-Length: 5\r\nRetry-After: 7\r\n\r\nhello",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\nLOCATION: https://a/1\r\n\r\n3;x=y\r\nhel\r\n2\r\nlo\r\n0\r\nX: y\r\n\r\n",
+        b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\nDate: Sun, 06 Nov 1994 08:49:37 GMT\r\nRetry-After: Sun, 06 Nov 1994 08:50:37 GMT\r\n\r\n",
+    ];
+    for text in texts {
+        let whole = cut(text, text.len()).unwrap().unwrap();
+        (0..text.len()).for_each(|at| assert_eq!(cut(text, at).unwrap().unwrap(), whole, "cut at {at}"));
+    }
+    assert_eq!(cut(texts[1], 9).unwrap().unwrap().body, b"hello");
+    let last = cut(texts[2], 9).unwrap().unwrap();
+    assert_eq!((last.retry_after, last.date), (Some(60), Some(784_111_777)));
+}
+
+#[test]
+fn an_open_answer_ends_with_its_connection_and_no_other_does() {
+    let mut reader = Reader::new(Method::Get, 100);
+    assert_eq!(reader.feed(b"HTTP/1.1 200 OK\r\n\r\nabc").unwrap(), None);
+    assert_eq!(reader.end().unwrap().unwrap().body, b"abc");
+    for short in [&b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc"[..], b"HTTP/1.1 2", b""] {
+        let mut reader = Reader::new(Method::Get, 100);
+        assert_eq!(reader.feed(short).unwrap(), None);
+        assert!(reader.end().is_err());
+    }
+    let mut reader = Reader::new(Method::Head, 100);
+    assert!(reader.feed(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n").unwrap().is_some());
+}
+
+#[test]
+fn what_has_no_end_or_two_of_them_is_refused() {
+    for bad in [
+        "HTTP/1.1 200 OK\r\nContent-Length: 101\r\n\r\n".to_string(),
+        "HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999\r\n\r\n".into(),
+        "HTTP/1.1 200 OK\r\nContent-Length: +5\r\n\r\n".into(),
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\n".into(),
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n".into(),
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n".into(),
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffffffff\r\n".into(),
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabcX\r\n".into(),
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\nabc\r\n".into(),
+        format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{}", "1".repeat(300)),
+        format!("HTTP/1.1 200 OK\r\n\r\n{}", "x".repeat(101)),
+        format!("HTTP/1.1 200 OK\r\nX: {}", "y".repeat(HEAD_MOST)),
+        format!("HTTP/1.1 200 OK\r\n{}\r\n", "X: y\r\n".repeat(65)),
+        "SSH-2.0-x\r\n".into(),
+    ] {
+        let mut reader = Reader::new(Method::Get, 100);
+        assert!(reader.feed(bad.as_bytes()).is_err(), "{}", &bad[..60.min(bad.len())]);
+    }
+}
+
+#[test]
+fn odd_bytes_never_panic_nor_grow_past_the_bound() {
+    let text = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n";
+    let mut dice = 5u64;
+    for _ in 0..50_000 {
+        let mut bytes = text.to_vec();
+        for _ in 0..3 {
+            dice = dice.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+            let at = (dice >> 33) as usize % bytes.len();
+            bytes[at] = (dice >> 20) as u8;
+        }
+        let mut reader = Reader::new(Method::Get, 100);
+        if let Ok(Some(answer)) = reader.feed(&bytes) {
+            assert!(answer.body.len() <= 100);
+        }
+        let _ = reader.end();
+    }
+}
--- a/certs/src/identity.rs
+++ b/certs/src/identity.rs
@@ -137,44 +137,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// A self-signed bundle for some names, from one second to another.
-    fn made(names: &[&str], from: Wall, until: Wall) -> (String, String) {
-        let key = rcgen::KeyPair::generate().unwrap();
-        let names: Vec<String> = names.iter().map(|n| n.to_string()).collect();
-        let mut params = rcgen::CertificateParams::new(names).unwrap();
-        let at = |s: u64| time::OffsetDateTime::from_unix_timestamp(s as i64).unwrap();
-        (params.not_before, params.not_after) = (at(from), at(until));
-        (key.serialize_pem(), params.self_signed(&key).unwrap().pem())
-    }
-
-    #[test]
-    fn key_and_certificate_have_to_belong_together() {
-        let (key, chain) = made(&["A.example", "*.b.example"], 1_000, 2_000);
-        let found = Identity::join(&key, &chain).unwrap();
-        assert_eq!((found.not_before, found.not_after), (1_000, 2_000));
-        assert!(found.covers("a.EXAMPLE") && found.covers("x.b.example"));
-        assert!(!found.covers("b.example") && !found.covers("x.y.b.example"));
-        assert!(found.holds(1_000) && found.holds(2_000) && !found.holds(2_001) && !found.holds(999));
-        assert!(!format!("{found:?}").contains(key.lines().nth(1).unwrap()));
-        let (other, _) = made(&["a.example"], 1_000, 2_000);
-        let why = Identity::join(&other, &chain).unwrap_err();
-        assert!(why.contains("do not belong together"), "{why}");
-        assert!(Identity::join(&key, &format!("{other}{chain}")).is_err());
-    }
-
-    #[test]
-    fn odd_bundles_are_refused_in_one_line() {
-        let (key, chain) = made(&["a.example"], 1_000, 2_000);
-        let whole = format!("{key}{chain}");
-        for cut in (0..whole.len()).step_by(7) {
-            if let Err(e) = Identity::from_pem(&whole[..cut]) {
-                assert!(!e.contains('\n'));
-            }
-        }
-        assert!(Identity::from_pem(&format!("{key}{}", chain.repeat(CHAIN_MOST + 1))).is_err());
-        assert!(Identity::from_pem(&"x".repeat(BUNDLE_MOST + 1)).is_err());
-    }
-}
+mod tests;
--- a/front/src/program/cli.rs
+++ b/front/src/program/cli.rs
@@ -150,9 +150,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    #[test]
-    fn the_command_line_is_sound() {
-        super::options().check_invariants(false);
-    }
-}
+mod tests;
--- /dev/null
+++ b/front/src/program/cli/tests.rs
@@ -0,0 +1,4 @@
+#[test]
+fn the_command_line_is_sound() {
+    super::options().check_invariants(false);
+}
--- a/front/src/program/ctl.rs
+++ b/front/src/program/ctl.rs
@@ -307,30 +307,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_table_shows_what_needs_a_look_and_the_exit_code_says_it() {
-        let row = |name: &str, state: &str, left: i64, covers: &[&str]| {
-            json!({"name": name, "names": [name], "certificate": state, "left_s": left, "not_before": 0,
-                   "not_after": 1_000_000, "order": "later", "next_s": 7_300, "covers": covers, "refused": []})
-        };
-        let good = row("a.example", "good", 900_000, &["a.example"]);
-        let soon = row("b.example", "good", 100_000, &["b.example"]);
-        let part = row("d.example", "good", 900_000, &["x.example"]);
-        let mut over = row("c.example", "EXPIRED", -90, &["c.example"]);
-        over["why"] = json!({"cause": "rate-limited", "text": "too many"});
-        let all = [good, soon, part, over];
-        assert_eq!([1, 2, 3, 4].map(|n| verdict(&all[..n])), [0, 4, 4, 5]);
-        assert_eq!(verdict(&[json!({"certificate": "missing"})]), 4);
-        insta::assert_snapshot!(table(&all));
-    }
-
-    #[test]
-    fn fields_are_json_where_they_can_be() {
-        let found = fields(&["a=1".into(), "b=x=y".into(), "c=[2]".into()]).unwrap();
-        assert_eq!(found, json!({"a": 1, "b": "x=y", "c": [2]}));
-        assert!(fields(&["plain".into()]).is_err());
-    }
-}
+mod tests;
--- /dev/null
+++ b/front/src/program/drivers/control/tests.rs
@@ -0,0 +1,117 @@
+use super::*;
+use crate::transport::Reactor;
+use std::io::{BufRead, BufReader};
+
+struct Stage {
+    reactor: Reactor,
+    effects: Vec<Effect>,
+    last: usize,
+    control: Control,
+    _folder: tempfile::TempDir,
+}
+
+impl Stage {
+    fn new() -> Self {
+        let folder = tempfile::tempdir().unwrap();
+        let (reactor, mut effects, mut last) = (Reactor::new().unwrap(), Vec::new(), 0);
+        let path = folder.path().join("c.sock");
+        let mut turn = Turn { now: 0, reactor: &reactor, effects: &mut effects, slot: (1, &mut last) };
+        let control = Control::new(&mut turn, &path, [("status", "how it stands")].into()).unwrap();
+        Stage { reactor, effects, last, control, _folder: folder }
+    }
+
+    fn operator(&mut self) -> UnixStream {
+        UnixStream::connect(&self.control.path).unwrap()
+    }
+
+    /// Lets the loop turn until nothing more comes.
+    fn turn(&mut self, now: Time) {
+        while let Ok(events) = self.reactor.wait(0, Some(1_000)) {
+            if events.is_empty() {
+                return;
+            }
+            for (key, readable, writable) in events {
+                let slot = (1, &mut self.last);
+                let mut turn = Turn { now, reactor: &self.reactor, effects: &mut self.effects, slot };
+                self.control.ready(&mut turn, key, readable, writable);
+            }
+        }
+    }
+}
+
+#[test]
+fn the_socket_is_0600_and_a_second_daemon_is_refused() {
+    let stage = Stage::new();
+    let mode = std::fs::metadata(&stage.control.path).unwrap().permissions().mode();
+    assert_eq!(mode & 0o777, 0o600);
+    assert!(bind(&stage.control.path).unwrap_err().contains("another daemon"));
+    let file = stage._folder.path().join("file");
+    std::fs::write(&file, "x").unwrap();
+    assert!(bind(&file).unwrap_err().contains("no socket"), "nothing of somebody else's is displaced");
+    // What a killed daemon left behind is displaced.
+    let old = stage._folder.path().join("old.sock");
+    drop(UnixListener::bind(&old).unwrap());
+    // Another test that starts a process may hold a copy of the socket between its fork and its exec.
+    let until = std::time::Instant::now() + std::time::Duration::from_secs(20);
+    while let Err(why) = bind(&old) {
+        assert!(std::time::Instant::now() < until, "{why}");
+        std::thread::yield_now();
+    }
+}
+
+#[test]
+fn odd_slow_and_endless_operators_hurt_nobody() {
+    let mut stage = Stage::new();
+    let mut odd = stage.operator();
+    odd.write_all(b"{\"word\":\"nothing\"}\n[1]\n\xff\n{\"word\":\"sta").unwrap();
+    stage.turn(1);
+    let mut lines = BufReader::new(odd.try_clone().unwrap()).lines();
+    for text in ["no such word", "no field `word`", "no JSON object"] {
+        assert!(lines.next().unwrap().unwrap().contains(text));
+    }
+    odd.write_all(b"tus\"}\n").unwrap();
+    stage.turn(2);
+    assert!(matches!(&stage.effects[..], [Effect::Word(4, word, Value::Null)] if word == "status"));
+    // One that never ends its line is closed, and room for operators is bounded.
+    let mut endless = stage.operator();
+    endless.set_nonblocking(true).unwrap();
+    let mut sent = 0;
+    while let Ok(n) = {
+        stage.turn(3);
+        endless.write(&[b'x'; 8_192])
+    } {
+        sent += n;
+        assert!(sent < 2 * LINE_MOST, "it is closed by then");
+    }
+    let _many: Vec<_> = (0..40).map(|_| stage.operator()).collect();
+    stage.turn(4);
+    assert!(stage.control.operators.len() <= OPERATORS_MOST);
+    // The first is still served.
+    let mut effects = Vec::new();
+    let slot = (1, &mut stage.last);
+    let mut turn = Turn { now: 5, reactor: &stage.reactor, effects: &mut effects, slot };
+    stage.control.told(&mut turn, &Effect::Answer(4, Ok(json!({"a": 1}))));
+    assert_eq!(lines.next().unwrap().unwrap(), r#"{"ok":{"a":1}}"#);
+    let mut turn = Turn {
+        now: IDLE_MOST + 6,
+        reactor: &stage.reactor,
+        effects: &mut effects,
+        slot: (1, &mut stage.last),
+    };
+    stage.control.due(&mut turn);
+    assert!(stage.control.operators.is_empty(), "who says nothing is closed in the end");
+}
+
+#[test]
+fn an_operator_has_so_many_words_open_and_no_more() {
+    let mut stage = Stage::new();
+    let mut one = stage.operator();
+    one.write_all("{\"word\":\"status\"}\n".repeat(20).as_bytes()).unwrap();
+    stage.turn(1);
+    assert_eq!(stage.effects.len(), OPEN_MOST);
+    let mut effects = Vec::new();
+    let slot = (1, &mut stage.last);
+    let mut turn = Turn { now: 2, reactor: &stage.reactor, effects: &mut effects, slot };
+    stage.control.told(&mut turn, &Effect::Answer(1, Ok(Value::Null)));
+    assert_eq!(effects.len(), 1, "the next one takes its place");
+}
--- a/front/src/program/log.rs
+++ b/front/src/program/log.rs
@@ -209,36 +209,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn warnings_are_not_lost_among_notes_and_what_is_left_out_is_counted_by_kind() {
-        let mut limiter = Limiter::default();
-        let notes = (0..100).filter(|_| limiter.admit(7, false, "note")).count();
-        let alarms = (0..100).filter(|_| limiter.admit(7, true, "broke")).count();
-        assert_eq!((notes, alarms), (35, 15));
-        assert_eq!(limiter.told(7), None, "the second is not over");
-        let told = limiter.told(8).unwrap();
-        assert_eq!((told["note"], told["broke"]), (65, 85));
-        assert_eq!(limiter.told(9), None);
-        assert!(limiter.admit(8, false, "note"));
-        // Kinds are bounded too.
-        let written = (0..1_000).filter(|i| limiter.admit(9, false, &i.to_string())).count();
-        assert_eq!(written, 35);
-        let told = limiter.told(10).unwrap();
-        assert!(told.len() <= KINDS_MOST + 1);
-        assert_eq!(told.values().sum::<u64>(), 965);
-    }
-
-    #[test]
-    fn a_line_is_one_line_whatever_stands_in_its_fields() {
-        let fields = [("error", "a\n\"b\" c".to_string()), ("member", "s-1".into())];
-        insta::assert_snapshot!(line(false, (5, 7), "warn", "x\ny", &fields), @r#"5.000007 warn x\ny error="a\n\"b\" c" member=s-1"#);
-        let json: serde_json::Value =
-            serde_json::from_str(&line(true, (5, 7), "warn", "x\ny", &fields)).unwrap();
-        assert_eq!((json["error"].as_str(), json["level"].as_str()), (Some("a\n\"b\" c"), Some("warn")));
-        let long = line(false, (5, 7), "info", "x", &[("a", "é".repeat(9_000))]);
-        assert!(long.chars().count() <= LINE_MOST + 1 && long.ends_with('\n'));
-    }
-}
+mod tests;
--- a/front/src/protocol/ops.rs
+++ b/front/src/protocol/ops.rs
@@ -85,46 +85,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_call_is_one_whole_line_and_all_else_is_told_why() {
-        let read = |bytes: &[u8], ended| match decode(bytes, ended) {
-            Ok(call) => format!("{call:?}"),
-            Err(Unreadable(why)) => why.to_string(),
-        };
-        let long = [b'x'; LINE_MOST];
-        let all: [(&[u8], bool); 20] = [
-            (b"", false),
-            (b"", true),
-            (b"heal", false),
-            (b"heal", true),
-            (b"health\n", false),
-            (b"health\r\n", true),
-            (b"counters\n", false),
-            (b"cordon s-00c41f7a\n", false),
-            (b"uncordon s-00C41F7A\n", false),
-            (b"quiesce\n", false),
-            (b"resume\n", false),
-            (b"cordon\n", false),
-            (b"cordon 00c41f7a\n", false),
-            (b"cordon s-00c41f7a s-00c41f7b\n", false),
-            (b"health now\n", false),
-            (b"HEALTH\n", false),
-            (b"\n", false),
-            (b"health\nresume\n", false),
-            (b"\xff\xfe\n", false),
-            (&long, false),
-        ];
-        let told: Vec<_> = all.iter().map(|(bytes, ended)| read(bytes, *ended)).collect();
-        insta::assert_debug_snapshot!(told);
-    }
-
-    #[test]
-    fn an_answer_is_one_line_or_ends_with_a_point() {
-        assert_eq!(answer(Ok(""), None), b"+OK\n");
-        assert_eq!(answer(Err("two\nlines"), None), b"-ERR two lines\n");
-        assert_eq!(answer(Ok(""), Some(&["a=1".into(), "b=2".into()])), b"+OK\na=1\nb=2\n.\n");
-    }
-}
+mod tests;
--- a/front/src/routing/ahead.rs
+++ b/front/src/routing/ahead.rs
@@ -47,43 +47,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    const S: Span = 1_000_000;
-
-    #[test]
-    fn what_is_named_is_never_taken_for_older_than_it_is_whatever_the_clock() {
-        // By the service's clock it is 1,000 s later; delays of news go from 40 to 240 ms, after a break to 8 s.
-        for clock in [0, 9 * S as i64, -9 * S as i64, 3_600 * S as i64, 450_000] {
-            let mut ahead = Ahead::default();
-            let here = |at: Time| at.saturating_add_signed(clock);
-            for n in 0..4_000u64 {
-                let (at, late) = (1_000 * S + n * S, if n % 500 < 8 { 8 * S - n % 500 * S } else { 0 });
-                let delay = 40_000 + n * 7_919 % 200_000 + late;
-                ahead.told(here(at + delay), at);
-                let taken = ahead.here(at);
-                assert!(taken >= here(at), "clock {clock}, purge {n}: taken for older than it is");
-                assert!(taken <= here(at + delay), "nothing is taken for later than it was heard of");
-                if n > 200 {
-                    assert!(taken <= here(at + 100_000), "clock {clock}, purge {n}: {}", taken - here(at));
-                }
-            }
-        }
-    }
-
-    #[test]
-    fn a_clock_that_drifts_is_followed_and_silence_forgets_nothing() {
-        let mut ahead = Ahead::default();
-        for n in 0..3_000u64 {
-            // A hundredth faster, and news each second: two windows of drift at most.
-            let (now, at) = (1_000 * S + n * S + n * 10_000, 1_000 * S + n * S);
-            ahead.told(now, at);
-            let late = (now - ahead.here(at)) as f64 / 1e6;
-            assert!(late <= 1.3, "{late} s at {n}");
-        }
-        let before = ahead.span();
-        ahead.told(5_000 * S, 4_960 * S);
-        assert!((before..before + 1_300_000).contains(&ahead.span()), "{before} {}", ahead.span());
-    }
-}
+mod tests;
--- a/front/src/transport/stream.rs
+++ b/front/src/transport/stream.rs
@@ -346,22 +346,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn what_is_dealt_with_leaves_no_room_behind() {
-        let listener = listen("127.0.0.1:0".parse().unwrap()).unwrap();
-        let mut peer = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
-        let socket = listener.accept().unwrap().0;
-        let mut stream: Stream<()> = Stream::new(&Reactor::new().unwrap(), socket, 1, false).unwrap();
-        peer.write_all(&[7; 100_000]).unwrap();
-        while stream.input().len() < 100_000 {
-            stream.fill(&mut [0; 16_384]).unwrap();
-        }
-        stream.consume(99_999);
-        assert_eq!(stream.input(), [7]);
-        stream.consume(1);
-        assert!(stream.input.capacity() <= KEPT_MOST);
-    }
-}
+mod tests;
--- /dev/null
+++ b/purges/src/journal/tests.rs
@@ -0,0 +1,124 @@
+use super::*;
+use crate::ledger::{Command, Taken};
+
+#[derive(Default)]
+struct Memory {
+    kept: Option<Vec<u8>>,
+    live: Vec<u8>,
+    full: bool,
+}
+
+impl File for Memory {
+    fn read(&mut self) -> io::Result<Option<Vec<u8>>> {
+        Ok(self.kept.clone())
+    }
+    fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
+        if self.full {
+            // As a full disk does: a part of it is there.
+            self.live.extend(&bytes[..bytes.len() / 2]);
+            return Err(io::ErrorKind::StorageFull.into());
+        }
+        self.live.extend(bytes);
+        Ok(())
+    }
+    fn sync(&mut self) -> io::Result<()> {
+        self.kept = Some(self.live.clone());
+        Ok(())
+    }
+    fn replace(&mut self, bytes: &[u8]) -> io::Result<()> {
+        (self.kept, self.live) = (Some(bytes.to_vec()), bytes.to_vec());
+        Ok(())
+    }
+}
+
+fn filled(n: u64) -> (Memory, Ledger) {
+    let (mut file, mut ledger) = (Memory::default(), Ledger::new(0xfeed));
+    rewrite(&mut file, &ledger).unwrap();
+    for i in 0..n {
+        let what = match i % 4 {
+            0 => What::Object(i),
+            1 => What::Group(i as u32),
+            2 => What::Tag(format!("tag-{i}").into()),
+            _ => What::Pattern(format!("car-*/{i:x}*").into()),
+        };
+        let id = i.to_string().into();
+        let command = Command { what, id, who: "ops".into(), why: "new photos".into(), all: false };
+        let Ok(Taken::New(purge)) = ledger.take(1_000 + i, &command) else { panic!() };
+        keep(&mut file, &purge).unwrap();
+        ledger.append(0xfeed, purge).unwrap();
+    }
+    (file, ledger)
+}
+
+#[test]
+fn what_was_kept_is_there_after_a_cut_at_any_byte_and_no_more() {
+    let (file, ledger) = filled(20);
+    let whole = file.kept.unwrap();
+    let ends: Vec<usize> =
+        (0..=20).map(|n| HEAD + ledger.iter().take(n).map(|p| record(p).len()).sum::<usize>()).collect();
+    for cut in HEAD..=whole.len() {
+        let mut file = Memory { kept: Some(whole[..cut].to_vec()), ..Memory::default() };
+        let Opened::Whole { ledger: found, torn } = open(&mut file).unwrap() else { panic!("cut at {cut}") };
+        let kept = ends.iter().rposition(|end| *end <= cut).unwrap();
+        assert_eq!((found.last(), torn), (kept as u64, cut - ends[kept]), "cut at {cut}");
+        assert!(found.iter().eq(ledger.iter().take(kept)));
+    }
+}
+
+#[test]
+fn a_flipped_bit_is_found_wherever_it_is() {
+    let (file, ledger) = filled(8);
+    let whole = file.kept.unwrap();
+    for at in 0..whole.len() {
+        for bit in [0, 5] {
+            let mut bytes = whole.clone();
+            bytes[at] ^= 1 << bit;
+            let mut file = Memory { kept: Some(bytes), ..Memory::default() };
+            match open(&mut file).unwrap() {
+                Opened::Damaged { ledger: found, at: told } => {
+                    let found = found.map_or(0, |l| l.last());
+                    assert!(found < ledger.last() && told <= at, "bit {bit} at {at}");
+                }
+                Opened::Newer => assert_eq!(at, 7),
+                // A length that grew past the end looks like a record that is cut off: nothing of it was told.
+                Opened::Whole { ledger: found, torn } => assert!(torn > 0 && found.last() < 8, "{at}"),
+                Opened::Missing => panic!(),
+            }
+        }
+    }
+}
+
+#[test]
+fn a_full_disk_leaves_what_was_kept_before() {
+    let (mut file, ledger) = filled(3);
+    file.full = true;
+    let command =
+        Command { what: What::Object(1), id: "x".into(), who: "".into(), why: "".into(), all: false };
+    let Ok(Taken::New(purge)) = ledger.take(9_000, &command) else { panic!() };
+    assert!(keep(&mut file, &purge).is_err());
+    file.kept = Some(file.live.clone());
+    let Opened::Whole { ledger: found, torn } = open(&mut file).unwrap() else { panic!() };
+    assert_eq!((found, torn > 0), (ledger, true));
+}
+
+#[test]
+fn compaction_keeps_numbers_and_odd_bytes_never_panic() {
+    let (mut file, mut ledger) = filled(20);
+    ledger.compact(15, 5_000);
+    rewrite(&mut file, &ledger).unwrap();
+    let Opened::Whole { ledger: found, .. } = open(&mut file).unwrap() else { panic!() };
+    assert_eq!((found.base(), found.last()), (15, 20));
+    let mut newer = Memory { kept: Some([b"CRPURGE2".to_vec(), vec![0; 40]].concat()), ..Memory::default() };
+    assert_eq!(open(&mut newer).unwrap(), Opened::Newer);
+    let bytes = record(ledger.get(20).unwrap());
+    let mut dice = 1u64;
+    for _ in 0..50_000 {
+        let mut odd = bytes.clone();
+        for _ in 0..3 {
+            dice = dice.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+            let at = (dice >> 33) as usize % odd.len();
+            odd[at] = (dice >> 20) as u8;
+        }
+        let _ = (decode(&odd), parse(&odd), parse(&odd[8..]));
+    }
+}
--- /dev/null
+++ b/purges/src/matching/tests.rs
@@ -0,0 +1,108 @@
+use super::*;
+use crate::key;
+
+fn purge(number: Number, at: Ms, what: What) -> Purge {
+    Purge { number, at, what, id: number.to_string().into(), who: "".into(), why: "".into() }
+}
+
+#[test]
+fn what_is_unknown_counts_as_matched_and_what_is_known_does_not() {
+    let (mut index, mut matcher) = (Index::new(1 << 16), Matcher::default());
+    index.learn(1, Some(&["vitara", "blue"]));
+    index.learn(2, Some(&[]));
+    index.learn(3, Some(&["a", "b", "c", "d", "e"]));
+    matcher.add(&purge(1, 500, What::Tag("vitara".into())), 0);
+    let floor = |index: &Index, object| matcher.floor(0, object, 0, index.tags(object), &key("v", object, 0));
+    assert_eq!([1, 2, 3, 4].map(|o| floor(&index, o)), [500, 0, 500, 500]);
+    // A new version of the object has lost the tag.
+    index.learn(1, Some(&["blue"]));
+    assert_eq!(floor(&index, 1), 0);
+    index.learn(1, None);
+    assert_eq!(floor(&index, 1), 0, "an answer that names none tells nothing");
+    assert_eq!(index.count("blue"), (3, 1));
+}
+
+#[test]
+fn the_index_keeps_its_size_and_forgets_into_unknown() {
+    let mut index = Index::new(1 << 16);
+    let before = index.slots.len();
+    (0..100_000).for_each(|o| index.learn(o, Some(&["t"])));
+    assert_eq!(index.slots.len(), before);
+    let known = (0..100_000).filter(|o| index.tags(*o).is_some()).count();
+    assert!(known <= before && known > before / 2, "{known} of {before}");
+    assert!((99_990..100_000).all(|o| index.tags(o).is_some()), "the latest are known");
+}
+
+#[test]
+fn floors_are_the_latest_of_all_that_match_and_end_for_who_confirmed() {
+    let mut matcher = Matcher::default();
+    matcher.add(&purge(1, 100, What::Object(7)), 5);
+    matcher.add(&purge(2, 200, What::Group(3)), 5);
+    matcher.add(&purge(3, 300, What::Pattern("car-*/00000000000000*/*".into())), 5);
+    let floor = |after, object, group, class: &str| {
+        matcher.floor(after, object, group, Some(&[]), &key(class, object, 0))
+    };
+    assert_eq!(floor(0, 7, 0, "page"), 105);
+    assert_eq!(floor(0, 7, 3, "page"), 205);
+    assert_eq!(floor(0, 7, 3, "car-video"), 305);
+    assert_eq!(floor(3, 7, 3, "car-video"), 0);
+    assert_eq!(floor(2, 7, 3, "car-video"), 305);
+    assert_eq!(floor(0, 8, 0, "page"), 0);
+    matcher.expire(206);
+    assert_eq!((matcher.counts(), floor_of(&matcher)), ([0, 0, 0, 1], 305));
+    matcher.expire(306);
+    assert!(matcher.is_empty());
+}
+
+fn floor_of(matcher: &Matcher) -> Ms {
+    matcher.floor(0, 7, 3, Some(&[]), &key("car-video", 7, 0))
+}
+
+#[test]
+fn what_stands_in_no_ledger_counts_whatever_boxes_have_confirmed() {
+    let mut matcher = Matcher::default();
+    matcher.add(&purge(0, 400, What::Object(7)), 0);
+    assert_eq!(matcher.floor(99, 7, 0, Some(&[]), "a/7/0"), 400);
+    matcher.add_all(300);
+    assert_eq!([0, 99].map(|after| matcher.floor(after, 8, 0, Some(&[]), "a/8/0")), [300, 300]);
+}
+
+#[test]
+fn patterns_put_together_match_as_they_did_one_by_one() {
+    let mut together = Matcher::default();
+    let mut single = Matcher::default();
+    let mut dice = 3u64;
+    for n in 1..=200 {
+        dice = dice.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+        let text = match dice >> 62 {
+            0 => format!("class-{}/*", (dice >> 40) % 9),
+            1 => format!("*/{:x}*/*", (dice >> 40) % 256),
+            2 => format!("*/*/{}", (dice >> 40) % 30),
+            _ => format!("class-[{}-9]/*{:x}/?", (dice >> 40) % 9, (dice >> 44) % 16),
+        };
+        let purge = purge(n, n * 10, What::Pattern(text.into()));
+        together.add(&purge, 0);
+        single.add(&purge, 0);
+        if let Some(job) = together.job() {
+            // One comes while they are put together.
+            let set = compile(job);
+            together.install(set);
+        }
+    }
+    assert!(together.recent.len() < RECENT_MOST && together.set.is_some());
+    for object in 0..2_000u64 {
+        let object = object.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let key = key(&format!("class-{}", object % 11), object, (object % 40) as u32);
+        let floor = |m: &Matcher| m.floor(0, object, 0, Some(&[]), &key);
+        assert_eq!(floor(&together), floor(&single), "{key}");
+    }
+}
+
+#[test]
+fn more_patterns_than_are_allowed_count_as_matching_everything() {
+    let mut matcher = Matcher::default();
+    for n in 1..=PATTERNS_MOST as u64 + 1 {
+        matcher.add(&purge(n, n, What::Pattern(format!("x{n}/*").into())), 0);
+    }
+    assert_eq!(matcher.floor(0, 1, 0, Some(&[]), "other/1/1"), PATTERNS_MOST as u64 + 1);
+}
--- /dev/null
+++ b/rig/src/link/tests.rs
@@ -0,0 +1,74 @@
+use super::*;
+
+/// Who called and who was called, over a link.
+fn pair() -> (Link, TcpStream, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let link = Link::new(listener.local_addr().unwrap());
+    let caller = TcpStream::connect(link.address).unwrap();
+    let (called, _) = listener.accept().unwrap();
+    for socket in [&caller, &called] {
+        socket.set_read_timeout(Some(crate::GUARD)).unwrap();
+    }
+    (link, caller, called)
+}
+
+fn hears(mut socket: &TcpStream, text: &[u8]) -> bool {
+    let mut got = vec![0; text.len()];
+    socket.read_exact(&mut got).is_ok() && got == text
+}
+
+fn hears_nothing(mut socket: &TcpStream) -> bool {
+    socket.set_read_timeout(Some(Duration::from_millis(150))).unwrap();
+    let nothing = matches!(socket.read(&mut [0; 8]), Err(e) if e.kind() == io::ErrorKind::WouldBlock);
+    socket.set_read_timeout(Some(crate::GUARD)).unwrap();
+    nothing
+}
+
+#[test]
+fn each_direction_is_cut_by_itself_and_what_was_held_comes_once_it_heals() {
+    let (link, mut caller, mut called) = pair();
+    caller.write_all(b"one").unwrap();
+    assert!(hears(&called, b"one"));
+    link.set(Way::Pass, Way::Cut);
+    caller.write_all(b"two").unwrap();
+    called.write_all(b"held").unwrap();
+    assert!(hears(&called, b"two") && hears_nothing(&caller));
+    link.set(Way::Cut, Way::Pass);
+    assert!(hears(&caller, b"held"), "nothing is lost, it is late");
+    caller.write_all(b"three").unwrap();
+    assert!(hears_nothing(&called));
+    link.heal();
+    assert!(hears(&called, b"three"));
+}
+
+#[test]
+fn a_reset_ends_what_is_open_and_a_refusal_what_is_begun() {
+    let (link, caller, called) = pair();
+    link.refuse(true);
+    let until = Instant::now() + crate::GUARD;
+    while TcpStream::connect(link.address).is_ok() {
+        assert!(Instant::now() < until, "calls are still accepted");
+    }
+    assert!(hears_nothing(&caller), "what is open stays");
+    link.reset();
+    assert!(!hears(&caller, b"x") && !hears(&called, b"x"));
+    link.heal();
+    while TcpStream::connect(link.address).is_err() {
+        assert!(Instant::now() < until, "calls are still refused");
+    }
+}
+
+#[test]
+fn a_slow_or_late_direction_takes_its_time_from_the_moment_it_is_set() {
+    let (link, mut caller, called) = pair();
+    // A relay that waits for bytes as the way is set is what the wait before gives time for.
+    caller.write_all(b"x").unwrap();
+    assert!(hears(&called, b"x"));
+    for way in [Way::Late(Duration::from_millis(300)), Way::Slow(1_000)] {
+        link.set(way, Way::Pass);
+        let began = Instant::now();
+        caller.write_all(&[7; 300]).unwrap();
+        assert!(hears(&called, &[7; 300]));
+        assert!(began.elapsed() >= Duration::from_millis(250), "{way:?}: {:?}", began.elapsed());
+    }
+}
--- /dev/null
+++ b/rig/src/list/tests.rs
@@ -0,0 +1,21 @@
+use super::*;
+
+#[test]
+fn a_service_returns_though_somebody_dials_from_its_port_meanwhile() {
+    let service = ListService::new(&History::default(), Mode::Serves);
+    service.set(Mode::Down);
+    let until = Instant::now() + crate::GUARD / 6;
+    while TcpStream::connect(service.address).is_ok() {
+        assert!(Instant::now() < until, "it is still there");
+    }
+    // As the system gives ports to whoever dials: any that nobody has at that moment.
+    let other = TcpListener::bind("127.0.0.1:0").unwrap();
+    let dials = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    let from: SocketAddr = ([127, 0, 0, 1], service.address.port()).into();
+    dials.bind(&from.into()).unwrap();
+    dials.connect(&other.local_addr().unwrap().into()).unwrap();
+    service.set(Mode::Serves);
+    while TcpStream::connect(service.address).is_err() {
+        assert!(Instant::now() < until, "it does not return");
+    }
+}
--- /dev/null
+++ b/settings/src/check/tests.rs
@@ -0,0 +1,77 @@
+use super::*;
+use serde_json::json;
+
+fn good() -> Value {
+    let config = include_str!("../../../front/examples/config.json");
+    serde_json::from_str::<Value>(config).unwrap()["settings"].clone()
+}
+
+#[test]
+fn what_is_missing_is_no_fault_and_what_is_of_another_kind_names_its_place() {
+    assert_eq!(faults(&good()), Vec::<String>::new());
+    assert_eq!(faults(&json!({})), Vec::<String>::new());
+    let cases = [
+        ("/zone", json!(7)),
+        ("/zone", json!("edge-1")),
+        ("/nInstances", json!(-3)),
+        ("/classes/1/semantics", json!("safe")),
+        ("/classes/2/aim", json!("600 ms")),
+        ("/classes/0/deadline", json!(1e300)),
+        ("/classes/0", json!("car-video")),
+        ("/classes", json!({})),
+        ("/familyInfo/joins", json!("yes")),
+        ("/familyInfo/classFresh", json!([0, -1, 0])),
+        ("/familyInfo/classWrite", json!([false, false, true, true])),
+        ("/familyInfo/upperKind", json!(-2)),
+        ("/familyInfo/rootKind", json!("origin")),
+        ("/rules/coldFrom", json!(1.5)),
+        ("/policyLimits/sendCap", json!([])),
+        ("/report/fields", json!([1])),
+        ("/discovery", json!("dns")),
+    ];
+    let mut told = Vec::new();
+    for (path, value) in cases {
+        let mut settings = good();
+        *settings.pointer_mut(path).unwrap() = value;
+        let faults = faults(&settings);
+        assert!(!faults.is_empty(), "{path}");
+        told.push(faults.join("; "));
+        assert!(crate::read(&settings).is_err(), "{path}");
+    }
+    let text = told.join("\n");
+    for place in
+        ["settings.zone: 7: not a place", "settings.classes[2].aim: not a number", "settings.classes[0]: not"]
+    {
+        assert!(text.contains(place), "{place} in\n{text}");
+    }
+    assert!(told.iter().all(|line| line.starts_with("settings.") && line.len() < 200), "{text}");
+}
+
+#[test]
+fn whatever_the_settings_are_reading_them_ends() {
+    // Every value of a good example is replaced by odd ones, one at a time.
+    fn paths(v: &Value, at: &str, all: &mut Vec<String>) {
+        all.push(at.to_string());
+        match v {
+            Value::Object(map) => map.iter().for_each(|(k, v)| paths(v, &format!("{at}/{k}"), all)),
+            Value::Array(list) => {
+                list.iter().enumerate().for_each(|(i, v)| paths(v, &format!("{at}/{i}"), all))
+            }
+            _ => {}
+        }
+    }
+    let mut all = Vec::new();
+    paths(&good(), "", &mut all);
+    assert!(all.len() > 100);
+    let odd =
+        [json!(null), json!(-1), json!(1e308), json!("x"), json!([]), json!({}), json!([[1]]), json!(true)];
+    for path in all {
+        for value in &odd {
+            let mut settings = good();
+            *settings.pointer_mut(&path).unwrap() = value.clone();
+            // It may be good or not; it must not panic, nor be read in spite of a fault.
+            let read = crate::read(&settings);
+            assert!(read.is_err() || faults(&settings).is_empty(), "{path}: {value}");
+        }
+    }
+}
--- a/tests/deployments.rs
+++ b/tests/deployments.rs
@@ -262,13 +262,14 @@
     assert_eq!(deploy.len(), 3);
     for file in product.iter().chain(&deploy) {
         let text = std::fs::read_to_string(file).unwrap().to_lowercase();
-        let product = text.split("#[cfg(test)]\nmod tests {").next().unwrap();
+        // Tests stand in files of their own: all of this one ships.
+        assert!(!text.contains("mod tests {"), "{} has tests of its own", file.display());
         for name in names.iter().chain(&more).chain(&other) {
-            assert!(!product.contains(name), "{} names {name}", file.display());
+            assert!(!text.contains(name), "{} names {name}", file.display());
         }
         // Some of theirs are words of every day: as a text of their own they would be a name.
         for name in &own {
-            assert!(!product.contains(&format!("\"{name}\"")), "{} names {name}", file.display());
+            assert!(!text.contains(&format!("\"{name}\"")), "{} names {name}", file.display());
         }
     }
 }
