--- a/front/src/program/clients.rs
+++ b/front/src/program/clients.rs
@@ -118,6 +118,11 @@
         self.all.values().all(|c| c.stream.flushed())
     }
 
+    /// Whether some have begun what is not whole yet.
+    pub fn begun(&self) -> bool {
+        self.all.values().any(|c| c.life == Life::Open && !c.stream.input().is_empty())
+    }
+
     /// Whether this is a client's connection.
     pub fn has(&self, key: usize) -> bool {
         self.all.contains_key(&key)
--- a/front/src/program/serve.rs
+++ b/front/src/program/serve.rs
@@ -535,7 +535,8 @@
 
     /// Goes on with the end of the program, if it was told to end. Whether that is over.
     fn parted(&mut self, now: Time) -> bool {
-        let owes = self.front.open() > 0 || !self.clients.flushed();
+        // A request whose last byte comes after the end of its connection would be lost.
+        let owes = self.front.open() > 0 || !self.clients.flushed() || self.clients.begun();
         let clients = self.clients.len() > 0;
         let Some(drain) = &mut self.draining else { return false };
         if let Some(over) = drain.part(now, owes, clients) {
--- a/front/tests/races.rs
+++ b/front/tests/races.rs
@@ -631,6 +631,30 @@
     assert!(ended(&mut stage, told) < Duration::from_millis(3_700));
 }
 
+#[test]
+fn a_request_of_which_half_has_come_when_the_front_would_shut_is_answered() {
+    let mut stage = Stage::new(|_| {});
+    let mut client = stage.client();
+    client.send(20, 1, &[0]);
+    assert!(client.hear().unwrap().starts_with("type 21"));
+    let ready = [&[0, 0, 0, 6, 20, 0, 0, 0, 2][..], &[0]].concat();
+    stage.signal("-TERM");
+    let told = Instant::now();
+    assert!(client.hear().unwrap().starts_with("type 30"));
+    while told.elapsed() < Duration::from_millis(700) {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    client.0.write_all(&ready[..7]).unwrap();
+    // The rest comes when the front would have shut the connection.
+    while told.elapsed() < Duration::from_millis(1_300) {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    client.0.write_all(&ready[7..]).unwrap();
+    assert!(client.hear().unwrap().starts_with("type 21 stream 2"));
+    assert!(ends_whole(&mut client));
+    assert!(ended(&mut stage, told) < Duration::from_millis(3_700));
+}
+
 #[test]
 fn signals_that_come_while_the_front_starts_are_heeded_once_it_has_started() {
     for (signals, ends) in [(&["-TERM"][..], true), (&["-HUP"], false), (&["-HUP", "-TERM"], true)] {
