--- a/budget/src/core_time/tests.rs
+++ b/budget/src/core_time/tests.rs
@@ -3,10 +3,10 @@
 #[test]
 fn over_any_long_span_no_more_than_the_share_and_what_was_laid_by_is_taken() {
     let mut budget = CoreTime::new(0, 25);
-    let (mut now, mut taken, mut dice) = (0, 0u64, 9u64);
+    let (mut now, mut taken, mut rng) = (0, 0u64, 9u64);
     while now < 20_000_000 {
-        dice = dice.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
-        let cost = 50 + (dice >> 33) % 3_000;
+        rng = rng.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+        let cost = 50 + (rng >> 33) % 3_000;
         if budget.may(now) {
             budget.took(cost);
             taken += cost;
--- a/certs/src/http/tests.rs
+++ b/certs/src/http/tests.rs
@@ -64,13 +64,13 @@
 #[test]
 fn odd_bytes_never_panic_nor_grow_past_the_bound() {
     let text = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n";
-    let mut dice = 5u64;
+    let mut rng = 5u64;
     for _ in 0..50_000 {
         let mut bytes = text.to_vec();
         for _ in 0..3 {
-            dice = dice.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
-            let at = (dice >> 33) as usize % bytes.len();
-            bytes[at] = (dice >> 20) as u8;
+            rng = rng.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+            let at = (rng >> 33) as usize % bytes.len();
+            bytes[at] = (rng >> 20) as u8;
         }
         let mut reader = Reader::new(Method::Get, 100);
         if let Ok(Some(answer)) = reader.feed(&bytes) {
--- a/certs/src/wire/tests.rs
+++ b/certs/src/wire/tests.rs
@@ -31,13 +31,13 @@
         br#"{"identifier":{"type":"dns","value":"a"},"status":"valid","challenges":[]}"#,
         br#"{"newNonce":"https://a/n","newAccount":"https://a/a","newOrder":"https://a/o"}"#,
     ];
-    let mut dice = 11u64;
+    let mut rng = 11u64;
     for round in 0..30_000 {
         let mut bytes = texts[round % 3].to_vec();
         for _ in 0..1 + round % 4 {
-            dice = dice.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
-            let at = (dice >> 33) as usize % bytes.len();
-            bytes[at] = (dice >> 20) as u8;
+            rng = rng.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+            let at = (rng >> 33) as usize % bytes.len();
+            bytes[at] = (rng >> 20) as u8;
         }
         bytes.truncate(bytes.len() - round % 5);
         let _ = (order(&bytes), authorization(&bytes), directory(&bytes), problem(&bytes).line());
--- a/certs/tests/planner.rs
+++ b/certs/tests/planner.rs
@@ -9,9 +9,9 @@
 use cranesill_certs::{Moment, Time, SECOND};
 use std::collections::{BTreeMap, VecDeque};
 
-struct Dice(u64);
+struct Rng(u64);
 
-impl Dice {
+impl Rng {
     fn below(&mut self, n: u64) -> u64 {
         self.0 = self.0.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
         (self.0 >> 33) % n.max(1)
@@ -23,7 +23,7 @@
     Failure { cause, refused, told: told.map(|s| s * SECOND), text: "played".into(), keeps_order: false }
 }
 
-/// Plays a planner for a span against an authority that answers by dice; `works` says when it does at all.
+/// Plays a planner for a span against an authority that answers by random numbers; `works` says when it does at all.
 fn play(
     seed: u64,
     plan: Plan,
@@ -33,7 +33,7 @@
     works: impl Fn(u64) -> bool,
     mut check: impl FnMut(u64, &BTreeMap<String, Held>, &VecDeque<Time>),
 ) {
-    let mut dice = Dice(seed);
+    let mut rng = Rng(seed);
     let mut planner = Planner::new(plan, Box::new(ranked("n1", &["n1", "n2", "n3"])));
     let mut now = SECOND;
     let at = |now: Time| Moment { now, wall: START + now / SECOND };
@@ -44,7 +44,7 @@
         let moment = at(now);
         while let Some(choice) = planner.next(moment) {
             begun.push_back(now);
-            busy.push((now + (1 + dice.below(90)) * SECOND, choice.id));
+            busy.push((now + (1 + rng.below(90)) * SECOND, choice.id));
         }
         assert!(busy.len() <= plan.at_once, "seed {seed}");
         while begun.front().is_some_and(|t| now >= t + plan.window) {
@@ -55,14 +55,14 @@
         let done: Vec<_> = busy.iter().filter(|(at, _)| *at <= now).map(|(_, id)| id.clone()).collect();
         busy.retain(|(at, _)| *at > now);
         for id in done {
-            let fate = dice.below(20);
+            let fate = rng.below(20);
             if !works(moment.wall - START) {
                 let told = (fate < 3).then_some(fate * 600);
                 planner.failed(moment, &id, &failure(Cause::Unreachable, &id, told));
             } else if fate == 0 {
                 planner.failed(moment, &id, &failure(Cause::Broken, &id, None));
             } else if fate == 1 {
-                planner.failed(moment, &id, &failure(Cause::Limited, &id, Some(dice.below(1_800))));
+                planner.failed(moment, &id, &failure(Cause::Limited, &id, Some(rng.below(1_800))));
             } else {
                 let new = Held { not_before: moment.wall - 60, not_after: moment.wall + lifetime };
                 planner.succeeded(moment, &id, new, std::slice::from_ref(&id));
--- a/duties/tests/fleet.rs
+++ b/duties/tests/fleet.rs
@@ -16,9 +16,9 @@
 /// counts, and what those who would have it wait.
 const HELD_AGAIN: Time = 2 * TERM + TERM;
 
-struct Dice(u64);
+struct Rng(u64);
 
-impl Dice {
+impl Rng {
     fn below(&mut self, n: u64) -> u64 {
         self.0 ^= self.0 << 13;
         self.0 ^= self.0 >> 7;
@@ -36,9 +36,9 @@
 struct Clock(Time, i64);
 
 impl Clock {
-    fn new(dice: &mut Dice, drift_per_mille_10: u64) -> Self {
-        let drift = dice.below(2 * drift_per_mille_10 + 1) as i64 - drift_per_mille_10 as i64;
-        Clock(dice.below(1_000 * S) + 100 * S, drift)
+    fn new(rng: &mut Rng, drift_per_mille_10: u64) -> Self {
+        let drift = rng.below(2 * drift_per_mille_10 + 1) as i64 - drift_per_mille_10 as i64;
+        Clock(rng.below(1_000 * S) + 100 * S, drift)
     }
 
     fn at(&self, now: Time) -> Time {
@@ -90,16 +90,15 @@
 
 /// `drift` is how much each clock is off at most, in ten-thousandths.
 fn play(seed: u64, drift: u64) -> Found {
-    let mut dice = Dice(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1);
+    let mut rng = Rng(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1);
     let mut fronts: Vec<One> = (0..FRONTS)
         .map(|front| {
-            let clock = Clock::new(&mut dice, drift);
+            let clock = Clock::new(&mut rng, drift);
             let holder = Holder::new(front, TERM, 0, wants(front, clock.at(0)));
             One { holder, clock, stopped: None, cut: (0, false, false), inbox: BTreeMap::new(), words: 0 }
         })
         .collect();
-    let mut keepers: Vec<_> =
-        (0..VOTERS).map(|_| (Keeper::new(TERM), Clock::new(&mut dice, drift))).collect();
+    let mut keepers: Vec<_> = (0..VOTERS).map(|_| (Keeper::new(TERM), Clock::new(&mut rng, drift))).collect();
     let mut book = Book::new(DUTIES.into());
     let mut gates = vec![Gate::default(); DUTIES.into()];
     // Words on their way to the log, and commands on their way to be agreed on.
@@ -119,16 +118,16 @@
                 Some(at) => {
                     let clock = keepers[at].1;
                     keepers[at].0.leads(clock.at(now), false);
-                    change = now + dice.below(2 * S);
+                    change = now + rng.below(2 * S);
                     // What was not agreed on is lost with its leader.
                     log.clear();
                 }
                 None => {
-                    let at = dice.below(VOTERS as u64) as usize;
+                    let at = rng.below(VOTERS as u64) as usize;
                     leader = Some(at);
                     let clock = keepers[at].1;
                     keepers[at].0.leads(clock.at(now), true);
-                    change = if faulty { now + S + dice.below(12 * S) } else { Time::MAX };
+                    change = if faulty { now + S + rng.below(12 * S) } else { Time::MAX };
                 }
             }
         }
@@ -141,7 +140,7 @@
             if leader.is_some() {
                 seq += 1;
                 let after = log.last_key_value().map_or(0, |((at, _), _)| *at);
-                log.insert((after.max(now + MS + dice.below(30 * MS)), seq), command);
+                log.insert((after.max(now + MS + rng.below(30 * MS)), seq), command);
             }
         }
         while log.first_key_value().is_some_and(|((at, _), _)| *at <= now) {
@@ -152,11 +151,11 @@
                 found.hand_overs += u64::from(book.held(duty).map(|h| h.1) > before[usize::from(duty)]);
             }
             for one in &mut fronts {
-                if faulty && (dice.one_in(12) || now < one.cut.0 && one.cut.2) {
+                if faulty && (rng.one_in(12) || now < one.cut.0 && one.cut.2) {
                     continue;
                 }
                 seq += 1;
-                one.inbox.insert((now + MS + dice.below(40 * MS), seq), fact);
+                one.inbox.insert((now + MS + rng.below(40 * MS), seq), fact);
             }
         }
         if let Some(at) = leader {
@@ -167,18 +166,18 @@
             }
         }
         for (n, one) in fronts.iter_mut().enumerate() {
-            if faulty && one.stopped.is_none() && dice.one_in(2_500) {
-                one.stopped = Some(now + dice.below(3 * TERM));
+            if faulty && one.stopped.is_none() && rng.one_in(2_500) {
+                one.stopped = Some(now + rng.below(3 * TERM));
             }
             if one.stopped.is_some_and(|until| now < until && faulty) {
                 continue;
             }
             one.stopped = None;
-            if faulty && now >= one.cut.0 && dice.one_in(1_500) {
-                one.cut = (now + dice.below(3 * TERM), !dice.one_in(3), !dice.one_in(3));
+            if faulty && now >= one.cut.0 && rng.one_in(1_500) {
+                one.cut = (now + rng.below(3 * TERM), !rng.one_in(3), !rng.one_in(3));
             }
             let here = one.clock.at(now);
-            if faulty && dice.one_in(6_000) {
+            if faulty && rng.one_in(6_000) {
                 // Killed and started anew: it holds nothing, and goes on counting its words.
                 one.words += 1_000_000;
                 one.holder = Holder::new(n as u32, TERM, one.words, wants(n as u32, here));
@@ -190,8 +189,8 @@
                 says.extend(one.holder.heard(here, fact));
             }
             says.extend(one.holder.look(here));
-            if faulty && dice.one_in(4_000) {
-                says.extend(one.holder.fails(here, dice.below(DUTIES.into()) as Duty));
+            if faulty && rng.one_in(4_000) {
+                says.extend(one.holder.fails(here, rng.below(DUTIES.into()) as Duty));
             }
             for said in says {
                 let Says::Log(command) = said else { continue };
@@ -199,24 +198,24 @@
                     continue;
                 }
                 // Lost, doubled, or held up for long.
-                for _ in 0..if faulty { [1, 1, 1, 1, 1, 1, 1, 0, 1, 2][dice.below(10) as usize] } else { 1 } {
-                    let held = if faulty && dice.one_in(100) { dice.below(20 * S) } else { 0 };
+                for _ in 0..if faulty { [1, 1, 1, 1, 1, 1, 1, 0, 1, 2][rng.below(10) as usize] } else { 1 } {
+                    let held = if faulty && rng.one_in(100) { rng.below(20 * S) } else { 0 };
                     seq += 1;
-                    way.insert((now + MS + dice.below(40 * MS) + held, seq), command);
+                    way.insert((now + MS + rng.below(40 * MS) + held, seq), command);
                 }
             }
             for duty in 0..DUTIES {
-                if !dice.one_in(20) {
+                if !rng.one_in(20) {
                     continue;
                 }
-                let takes = 10 * MS + dice.below(400 * MS);
+                let takes = 10 * MS + rng.below(400 * MS);
                 if let Ok(fence) = one.holder.act(here, duty, here + takes) {
                     one.holder.does(duty);
                     let to = one.clock.back(here + takes);
                     let act = Act { duty, front: n as u32, fence, from: now, to, late: false };
-                    if faulty && dice.one_in(200) {
+                    if faulty && rng.one_in(200) {
                         // Stopped between the look and the act.
-                        let wakes = now + dice.below(2 * TERM);
+                        let wakes = now + rng.below(2 * TERM);
                         one.stopped = Some(wakes);
                         late.push((wakes, Act { from: wakes, to: wakes + takes, late: true, ..act }));
                     } else if gates[usize::from(duty)].pass(fence).is_ok() {
--- a/emulator/src/cold.rs
+++ b/emulator/src/cold.rs
@@ -2,7 +2,7 @@
 //!
 //! A cache or parent has so many places, fewer while it is cold, and takes longer the more requests it holds. Sent more than the
 //! settings let it bear, and chance, it falls and stays down. Clients ask once more what they were not served.
-use crate::dice::Dice;
+use crate::rng::Rng;
 use crate::{Time, S};
 use cranesill::api::*;
 use cranesill::Router;
@@ -108,7 +108,7 @@
     last: u64,
     now: Time,
     until: Time,
-    dice: Dice,
+    rng: Rng,
     asked: [(u64, u64); 2],
     requests: u64,
     attempts: u64,
@@ -181,7 +181,7 @@
             last: 0,
             now: BEGIN,
             until: BEGIN + self.seconds * S,
-            dice: Dice(self.seed.wrapping_mul(1_000_003) | 1),
+            rng: Rng(self.seed.wrapping_mul(1_000_003) | 1),
             asked: [(0, 0); 2],
             requests: 0,
             attempts: 0,
@@ -194,9 +194,9 @@
         let per_s = self.load * f64::from(self.caches) * PLACES * S as f64 / WORK as f64;
         let mut at = BEGIN as f64;
         while at < world.until as f64 {
-            at += -(1.0 - world.dice.roll()).ln() / per_s * S as f64;
-            let object = (OBJECTS * world.dice.roll().powi(3)) as u64;
-            let front = world.dice.below(self.fronts.into()) as u32;
+            at += -(1.0 - world.rng.roll()).ln() / per_s * S as f64;
+            let object = (OBJECTS * world.rng.roll().powi(3)) as u64;
+            let front = world.rng.below(self.fronts.into()) as u32;
             world.add(at as Time, Due::Ask(front, object, true));
         }
         world.run();
@@ -260,7 +260,7 @@
             count.1 += 1;
         }
         if open.first && !served {
-            let other = self.dice.below(self.routers.len() as u64) as u32;
+            let other = self.rng.below(self.routers.len() as u64) as u32;
             self.add(self.now + AGAIN, Due::Ask(other, open.object, false));
         }
     }
--- a/emulator/src/lib.rs
+++ b/emulator/src/lib.rs
@@ -6,10 +6,10 @@
 #![deny(missing_docs)]
 
 mod cold;
-mod dice;
 mod lists;
 mod nodes;
 mod plot;
+mod rng;
 
 pub use cold::{Cold, Found, Held};
 pub use lists::{Outage, Return, Way};
--- a/emulator/src/lists.rs
+++ b/emulator/src/lists.rs
@@ -1,5 +1,5 @@
 //! Calls on a list service that fails for a time and returns with room for so many.
-use crate::dice::Dice;
+use crate::rng::Rng;
 use crate::{Time, S};
 use cranesill_startup::{Budget, Calls, End};
 use serde::Serialize;
@@ -95,12 +95,12 @@
         }
     }
 
-    fn end(&mut self, now: Time, end: End, dice: &mut Dice) -> Time {
+    fn end(&mut self, now: Time, end: End, rng: &mut Rng) -> Time {
         match self {
             Caller::Core(calls) => calls.end(now, end),
             Caller::Doubling { wait, most, random } => {
                 *wait = (*wait * 2).clamp(FIRST, *most);
-                now + if *random { (*wait as f64 * dice.roll()) as Time } else { *wait }
+                now + if *random { (*wait as f64 * rng.roll()) as Time } else { *wait }
             }
         }
     }
@@ -124,7 +124,7 @@
 impl Outage {
     /// Plays it with fronts that go this way.
     pub fn play(&self, way: Way) -> Return {
-        let mut dice = Dice(self.seed);
+        let mut rng = Rng(self.seed);
         let n = self.fronts as usize;
         let mut fronts: Vec<_> = (0..n)
             .map(|front| {
@@ -147,7 +147,7 @@
                 Caller::Core(calls) => calls.first(0, false),
                 Caller::Doubling { random, .. } => {
                     if *random {
-                        dice.below(FIRST)
+                        rng.below(FIRST)
                     } else {
                         0
                     }
@@ -169,7 +169,7 @@
                     number[front] += 1;
                     let until = fronts[front].begin(now);
                     if now < self.back {
-                        let again = fronts[front].end(now + CLOSES, End::Closed, &mut dice);
+                        let again = fronts[front].end(now + CLOSES, End::Closed, &mut rng);
                         steps.push(Reverse((again.max(now + CLOSES), Step::Call(front))));
                         continue;
                     }
@@ -185,7 +185,7 @@
                 Step::GiveUp(front, of) => {
                     if waits[front] && number[front] == of {
                         waits[front] = false;
-                        let again = fronts[front].end(now, End::Unanswered, &mut dice);
+                        let again = fronts[front].end(now, End::Unanswered, &mut rng);
                         steps.push(Reverse((again.max(now), Step::Call(front))));
                     }
                 }
--- a/emulator/src/nodes.rs
+++ b/emulator/src/nodes.rs
@@ -1,6 +1,6 @@
 //! Connections that come to cache nodes while a fleet starts under load.
-use crate::dice::Dice;
 use crate::lists::worst;
+use crate::rng::Rng;
 use crate::{Time, S};
 use cranesill_startup::{Ramp, Take};
 use serde::Serialize;
@@ -35,15 +35,15 @@
 pub fn handshakes(fronts: u32, nodes: u64, asked_per_s: f64, way: Use, seed: u64) -> Dials {
     let mut at: Vec<Vec<Time>> = vec![Vec::new(); nodes as usize];
     for front in 0..fronts {
-        let mut dice = Dice(seed.wrapping_mul(1_000_003).wrapping_add(u64::from(front)));
+        let mut rng = Rng(seed.wrapping_mul(1_000_003).wrapping_add(u64::from(front)));
         match way {
-            Use::AtOnce => at.iter_mut().for_each(|node| node.push(dice.below(S / 100))),
+            Use::AtOnce => at.iter_mut().for_each(|node| node.push(rng.below(S / 100))),
             Use::OnDemand => {
                 let (mut now, mut left) = (0.0, nodes);
                 let mut has = vec![false; nodes as usize];
                 while left > 0 {
-                    now += -(1.0 - dice.roll()).ln() / asked_per_s;
-                    let node = dice.below(nodes) as usize;
+                    now += -(1.0 - rng.roll()).ln() / asked_per_s;
+                    let node = rng.below(nodes) as usize;
                     if !std::mem::replace(&mut has[node], true) {
                         at[node].push((now * S as f64) as Time);
                         left -= 1;
--- a/emulator/src/rng.rs
+++ b/emulator/src/rng.rs
@@ -1,11 +1,11 @@
 //! Random numbers from a seed.
 
 /// A row of them.
-pub struct Dice(pub u64);
+pub struct Rng(pub u64);
 
-impl Dice {
+impl Rng {
     fn next(&mut self) -> u64 {
-        cranesill_startup::dice::next(&mut self.0)
+        cranesill_startup::rng::next(&mut self.0)
     }
 
     /// From 0 to 1.
--- a/front/src/program/clients.rs
+++ b/front/src/program/clients.rs
@@ -39,7 +39,7 @@
 
 /// What came from a client.
 #[derive(Debug)]
-pub enum Heard {
+pub enum ClientEvent {
     Ask(ReplyTo, Ask),
     /// A request that can't be taken in; it has been answered or is yet to be.
     Bad(ReplyTo, &'static str),
@@ -85,7 +85,7 @@
 pub struct Clients {
     all: HashMap<usize, Client>,
     /// No new requests are wanted.
-    leaving: bool,
+    draining: bool,
     /// Who asks whether the front is ready is told yes, unless it leaves.
     pub ready: bool,
     /// Connections are closed as soon as they carry nothing.
@@ -93,7 +93,7 @@
     /// The program ends: all connections are closed once they are owed nothing.
     parting: bool,
     held: usize,
-    lost: Vec<Heard>,
+    lost: Vec<ClientEvent>,
     scratch: Vec<u8>,
 }
 
@@ -151,7 +151,7 @@
         let (open, owes) = (HashSet::new(), Some(now));
         let life = if self.parting { Life::Closing } else { Life::Open };
         self.all.insert(key, Client { stream, open, life, moved: now, owes, rests: 0, told: None });
-        if self.leaving {
+        if self.draining {
             self.say_no_more(now, key);
         }
     }
@@ -172,15 +172,15 @@
     }
 
     /// Tells all clients that no new requests are wanted; `empties`: connections are closed as they become free.
-    pub fn leave(&mut self, now: Time, empties: bool) {
-        (self.leaving, self.empties) = (true, self.empties || empties);
+    pub fn drain(&mut self, now: Time, empties: bool) {
+        (self.draining, self.empties) = (true, self.empties || empties);
         let keys: Vec<_> = self.all.keys().copied().collect();
         keys.into_iter().for_each(|key| self.say_no_more(now, key));
     }
 
     /// New requests are wanted again. A connection whose client was told otherwise stays told, and goes.
     pub fn resume(&mut self) {
-        self.leaving = false;
+        self.draining = false;
     }
 
     fn say_no_more(&mut self, now: Time, key: usize) {
@@ -192,7 +192,7 @@
     }
 
     /// Reads what has come on a connection.
-    pub fn read(&mut self, now: Time, key: usize) -> Vec<Heard> {
+    pub fn read(&mut self, now: Time, key: usize) -> Vec<ClientEvent> {
         let mut heard = Vec::new();
         for round in 0..READS_MOST {
             // The first read is made even from one that rests: its end is told whether it is watched or not, and
@@ -215,16 +215,16 @@
                 continue;
             }
             client.moved = now;
-            client.hear(now, key, self.ready && !self.leaving, &mut heard);
+            client.hear(now, key, self.ready && !self.draining, &mut heard);
             self.flush(now, key);
         }
         // Who came and left in one turn asks for nothing: it would be sent on for nobody.
-        let gone = |one: &Heard| if let Heard::Gone(from) = one { Some(*from) } else { None };
+        let gone = |one: &ClientEvent| if let ClientEvent::Gone(from) = one { Some(*from) } else { None };
         let left: HashSet<_> = heard.iter().filter_map(gone).collect();
         let mut never = HashSet::new();
         heard.retain(|one| match one {
-            Heard::Ask(from, _) if left.contains(from) => !never.insert(*from),
-            Heard::Gone(from) => !never.contains(from),
+            ClientEvent::Ask(from, _) if left.contains(from) => !never.insert(*from),
+            ClientEvent::Gone(from) => !never.contains(from),
             _ => true,
         });
         heard
@@ -263,12 +263,12 @@
     }
 
     /// Who waited on connections that broke while they were written to.
-    pub fn lost(&mut self) -> Vec<Heard> {
+    pub fn lost(&mut self) -> Vec<ClientEvent> {
         std::mem::take(&mut self.lost)
     }
 
     /// Closes what is dead or idle, and while too much is held who holds most. Returns who waits no more.
-    pub fn sweep(&mut self, now: Time, pressed: usize, held_most: usize) -> Vec<Heard> {
+    pub fn sweep(&mut self, now: Time, pressed: usize, held_most: usize) -> Vec<ClientEvent> {
         let stall = if self.held > pressed { STALL_PRESSED } else { STALL_MOST };
         let keys: Vec<_> = self.all.keys().copied().collect();
         for key in keys {
@@ -315,12 +315,12 @@
     }
 
     /// Gives a connection up: nobody waits there any more.
-    fn drop(&mut self, key: usize) -> Vec<Heard> {
+    fn drop(&mut self, key: usize) -> Vec<ClientEvent> {
         let Some(mut client) = self.all.remove(&key) else { return Vec::new() };
         client.stream.discount(&mut self.held);
         let mut open: Vec<_> = client.open.into_iter().collect();
         open.sort_unstable();
-        open.into_iter().map(|stream| Heard::Gone(ReplyTo { client: key, stream })).collect()
+        open.into_iter().map(|stream| ClientEvent::Gone(ReplyTo { client: key, stream })).collect()
     }
 }
 
@@ -360,7 +360,7 @@
     }
 
     /// Takes whole frames off the input.
-    fn hear(&mut self, now: Time, key: usize, ready: bool, heard: &mut Vec<Heard>) {
+    fn hear(&mut self, now: Time, key: usize, ready: bool, heard: &mut Vec<ClientEvent>) {
         loop {
             let (message, used) = match client::decode(self.stream.input()) {
                 Ok(Some(found)) => found,
@@ -384,16 +384,16 @@
                         Some(ask).filter(|_| self.open.len() <= STREAMS_MOST).ok_or("too many streams")
                     });
                     heard.push(match ask {
-                        Ok(ask) => Heard::Ask(from, ask),
+                        Ok(ask) => ClientEvent::Ask(from, ask),
                         Err(why) => {
                             self.rests = now + REST;
-                            Heard::Bad(from, why)
+                            ClientEvent::Bad(from, why)
                         }
                     });
                 }
                 Message::Gone(stream) => {
                     if self.open.remove(&stream) {
-                        heard.push(Heard::Gone(ReplyTo { client: key, stream }));
+                        heard.push(ClientEvent::Gone(ReplyTo { client: key, stream }));
                     }
                 }
                 Message::Ready(stream) => self.stream.push(client::ready(stream, ready)),
--- a/front/src/program/clients/tests.rs
+++ b/front/src/program/clients/tests.rs
@@ -19,7 +19,7 @@
     }
 
     /// Writes, and reads that as the loop would.
-    fn tell(&mut self, now: Time, mut socket: &TcpStream, key: usize, bytes: &[u8]) -> Vec<Heard> {
+    fn tell(&mut self, now: Time, mut socket: &TcpStream, key: usize, bytes: &[u8]) -> Vec<ClientEvent> {
         socket.write_all(bytes).unwrap();
         assert!(self.told(20_000_000), "something came");
         self.2.read(now, key)
@@ -60,7 +60,7 @@
     let mut stage = Stage::new();
     let client = stage.client(0, 1);
     let bad = [0, 0, 0, 6, 10, 0, 0, 0, 1, 0];
-    assert!(matches!(stage.tell(1, &client, 1, &bad)[..], [Heard::Bad(..)]));
+    assert!(matches!(stage.tell(1, &client, 1, &bad)[..], [ClientEvent::Bad(..)]));
     (&client).write_all(&READY).unwrap();
     assert!(!stage.told(20_000), "nothing is read from it for now");
     stage.2.sweep(REST + 1, usize::MAX, usize::MAX);
@@ -86,8 +86,8 @@
     // A request that can't be used is one all the same: it is owed an answer.
     let request = [0, 0, 0, 6, 10, 0, 0, 0, 1, 0];
     let heard = stage.tell(1, &busy, 2, &request);
-    let [Heard::Bad(from, _)] = heard[..] else { panic!("{heard:?}") };
-    stage.2.leave(2, true);
+    let [ClientEvent::Bad(from, _)] = heard[..] else { panic!("{heard:?}") };
+    stage.2.drain(2, true);
     let sweep = |stage: &mut Stage, now| drop(stage.2.sweep(now, usize::MAX, usize::MAX));
     sweep(&mut stage, QUIET);
     assert!(
@@ -136,8 +136,8 @@
     // What was heard of in a turn before is called off.
     let mut other = class.to_vec();
     other[8] = 2;
-    assert!(matches!(stage.tell(1, &client, 1, &other)[..], [Heard::Ask(..)]));
-    assert!(matches!(stage.tell(2, &client, 1, &gone(2))[..], [Heard::Gone(_)]));
+    assert!(matches!(stage.tell(1, &client, 1, &other)[..], [ClientEvent::Ask(..)]));
+    assert!(matches!(stage.tell(2, &client, 1, &gone(2))[..], [ClientEvent::Gone(_)]));
 }
 
 #[test]
--- a/front/src/program/drivers/mod.rs
+++ b/front/src/program/drivers/mod.rs
@@ -62,5 +62,5 @@
     /// The settings were read again.
     fn reload(&mut self, _turn: &mut Turn<'_>, _settings: &Daemon) {}
     /// SIGTERM: nothing new is begun.
-    fn leave(&mut self) {}
+    fn drain(&mut self) {}
 }
--- a/front/src/program/drivers/tls.rs
+++ b/front/src/program/drivers/tls.rs
@@ -84,7 +84,7 @@
     note_at: Time,
     /// Nothing is accepted before this moment: the system had no descriptor.
     rests: Time,
-    leaving: bool,
+    draining: bool,
 }
 
 impl Tls {
@@ -114,7 +114,7 @@
             untold: BTreeMap::new(),
             note_at: 0,
             rests: 0,
-            leaving: false,
+            draining: false,
         })
     }
 
@@ -343,7 +343,7 @@
             self.all.remove(&key);
         }
         self.work(turn);
-        let rested = turn.now >= self.rests && !self.leaving;
+        let rested = turn.now >= self.rests && !self.draining;
         if !self.accepting && rested && self.room(turn.now).is_ok() && self.budget.may(turn.now) {
             self.watch(true);
         }
@@ -352,7 +352,7 @@
 
     fn next(&self) -> Option<Time> {
         let work = self.places.any_waiting().then(|| self.budget.next());
-        let accept = (!self.accepting && !self.leaving).then(|| {
+        let accept = (!self.accepting && !self.draining).then(|| {
             let full = self.places.len() >= self.settings.handshakes_most;
             let oldest = self.taken.front().filter(|(_, key)| full && self.all.contains_key(key));
             let room = oldest.map_or(0, |(since, _)| since + KEPT_LEAST);
@@ -396,8 +396,8 @@
         }
     }
 
-    fn leave(&mut self) {
-        self.leaving = true;
+    fn drain(&mut self) {
+        self.draining = true;
         self.watch(false);
     }
 }
--- a/front/src/program/members/tests.rs
+++ b/front/src/program/members/tests.rs
@@ -189,7 +189,7 @@
     }
 }
 
-/// By the dice: what is sent, given up, answered, reset, withdrawn and left out in any order, on so many connections.
+/// By random numbers: what is sent, given up, answered, reset, withdrawn and left out in any order, on so many connections.
 fn any_order(seed: u64, links_most: usize) -> usize {
     let listeners: Vec<_> = (0..2).map(|_| std::net::TcpListener::bind("127.0.0.1:0").unwrap()).collect();
     let mut reactor = Reactor::new().unwrap();
@@ -200,12 +200,12 @@
         let entry = Entry { member, kind: 0, zone: 0, cell: 0, weight: 1.0, started: 0, state };
         members.list(&entry, listener.local_addr().unwrap());
     }
-    let mut dice = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1;
+    let mut rng = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1;
     let mut roll = |n: u64| {
-        dice ^= dice << 13;
-        dice ^= dice >> 7;
-        dice ^= dice << 17;
-        dice % n
+        rng ^= rng << 13;
+        rng ^= rng >> 7;
+        rng ^= rng << 17;
+        rng % n
     };
     let (mut far, mut ends): (Vec<Far>, Ends) = (Vec::new(), Vec::new());
     let mut current: HashMap<u64, AttemptId> = HashMap::new();
--- a/front/src/program/serve.rs
+++ b/front/src/program/serve.rs
@@ -1,5 +1,5 @@
 //! The loop.
-use super::clients::{Clients, Heard};
+use super::clients::{ClientEvent, Clients};
 use super::config::Config;
 use super::drain::{Drain, Stage};
 use super::drivers::certs::Certs;
@@ -73,9 +73,9 @@
     /// Another process may have left the clients' socket to this one.
     TakeOver,
     /// Another process may have heard of members out by hand.
-    Look,
+    OutByHand,
     /// An operator's call is answered.
-    Yes(u64),
+    Confirm(u64),
 }
 
 /// One front on its sockets.
@@ -280,7 +280,7 @@
                         match self.word(now, &word, &args) {
                             // Another process of this front is to act on it before the operator is told that it counts.
                             Ok(_) if word == "cordon" && self.shared.is_some() => {
-                                self.deadlines.add(now + SEEN, Due::Yes(number))
+                                self.deadlines.add(now + SEEN, Due::Confirm(number))
                             }
                             answer => self.effects.push(Effect::Answer(number, answer)),
                         }
@@ -429,7 +429,7 @@
             let changed: Vec<_> = out.symmetric_difference(&self.out).copied().collect();
             changed.into_iter().for_each(|id| self.set_by_hand(now, id, out.contains(&id)));
         }
-        self.deadlines.add(now + LOOK, Due::Look);
+        self.deadlines.add(now + LOOK, Due::OutByHand);
     }
 
     /// Accepts clients once no other process of this front does, and uses all of its limits once none is left.
@@ -468,7 +468,7 @@
         if self.quiesced.is_none() {
             tracing::info!(kind = "quiesce", clients = self.clients.len(), "quiesced");
             self.quiesced = Some(now);
-            self.clients.leave(now, true);
+            self.clients.drain(now, true);
             self.deadlines.add(now + QUIESCE_SERVES, Due::Quiesced);
             self.settle(now, Vec::new());
         }
@@ -555,7 +555,7 @@
     fn event(&mut self, now: Time, key: usize, readable: bool, writable: bool) {
         match key {
             LISTENER => self.accept(now),
-            TERM => self.leave(now),
+            TERM => self.begin_drain(now),
             HANGUP => {
                 drain(&self.hangup);
                 self.reload(now);
@@ -619,8 +619,8 @@
                 self.take_members(now, false, list, Origin::Kept);
             }
             Due::TakeOver => self.take_over(now, false),
-            Due::Look => self.look(now),
-            Due::Yes(number) => {
+            Due::OutByHand => self.look(now),
+            Due::Confirm(number) => {
                 self.effects.push(Effect::Answer(number, Ok("out".into())));
                 self.effects(now);
             }
@@ -633,7 +633,7 @@
                 let stage = self.draining.map_or(Stage::Serves, |drain| drain.stage(now));
                 if stage >= Stage::Refuses {
                     self.front.close(true);
-                    self.drivers.iter_mut().for_each(|(driver, _)| driver.leave());
+                    self.drivers.iter_mut().for_each(|(driver, _)| driver.drain());
                 }
                 if stage >= Stage::Parts {
                     self.front.give_up(now);
@@ -684,13 +684,13 @@
     }
 
     /// SIGTERM: clients are told, and what is taken is still answered.
-    fn leave(&mut self, now: Time) {
+    fn begin_drain(&mut self, now: Time) {
         drain(&self.term);
         if self.draining.is_none() {
             tracing::info!("SIGTERM: leaving");
             let drain = Drain::new(now, &self.config.deployment.limits.waits, self.shared.is_some());
             self.draining = Some(drain);
-            self.clients.leave(now, self.config.accept_fd.is_some());
+            self.clients.drain(now, self.config.accept_fd.is_some());
             self.listen(true);
             let learned = self.front.learned();
             if let Some(shared) = &mut self.shared {
@@ -758,16 +758,16 @@
         }
     }
 
-    fn hear(&mut self, now: Time, heard: Vec<Heard>) {
+    fn hear(&mut self, now: Time, heard: Vec<ClientEvent>) {
         for one in heard {
             self.front.holds(self.clients.held() + self.members.held());
             match one {
-                Heard::Ask(from, ask) => self.front.take_in(now, from, ask),
-                Heard::Bad(from, why) => {
+                ClientEvent::Ask(from, ask) => self.front.take_in(now, from, ask),
+                ClientEvent::Bad(from, why) => {
                     tracing::info!(error = why, "bad request");
                     self.clients.answer(now, from, Answer::Failed);
                 }
-                Heard::Gone(from) => {
+                ClientEvent::Gone(from) => {
                     self.gone.push(from);
                     continue;
                 }
@@ -880,7 +880,7 @@
                 self.front.ended(now, attempt, end);
             }
             for gone in self.clients.lost() {
-                if let Heard::Gone(from) = gone {
+                if let ClientEvent::Gone(from) = gone {
                     self.front.gone(now, from);
                 }
             }
--- a/front/src/protocol/follow/tests.rs
+++ b/front/src/protocol/follow/tests.rs
@@ -14,13 +14,13 @@
     let bytes = frame(&sent);
     (0..bytes.len()).for_each(|cut| assert_eq!(read_frame(&bytes[..cut]).unwrap(), None, "cut at {cut}"));
     assert_eq!(read_frame(&bytes).unwrap(), Some((sent, bytes.len())));
-    let mut dice = 3u64;
+    let mut rng = 3u64;
     for _ in 0..30_000 {
         let mut odd = bytes.clone();
         for _ in 0..3 {
-            dice = dice.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
-            let at = (dice >> 33) as usize % odd.len();
-            odd[at] = (dice >> 20) as u8;
+            rng = rng.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+            let at = (rng >> 33) as usize % odd.len();
+            odd[at] = (rng >> 20) as u8;
         }
         assert!(read_frame(&odd).ok().flatten().is_none_or(|f| f.1 <= odd.len()));
         let _ = read_hello(&odd);
--- a/front/src/routing/tests.rs
+++ b/front/src/routing/tests.rs
@@ -232,10 +232,10 @@
 #[test]
 fn every_request_is_in_one_count_or_in_progress_whatever_becomes_of_it() {
     let mut front = with_origin(Room { open: 40, bytes: 96 << 20 });
-    let (mut taken, mut now, mut dice) = (0u64, S, 7u64);
+    let (mut taken, mut now, mut rng) = (0u64, S, 7u64);
     let mut roll = |n: u64| {
-        dice = dice.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
-        (dice >> 33) % n
+        rng = rng.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+        (rng >> 33) % n
     };
     let (mut out, mut open, mut told) = (Vec::new(), Vec::new(), [0u64; 3]);
     for n in 1..=4_000u64 {
--- a/front/tests/fleet.rs
+++ b/front/tests/fleet.rs
@@ -95,13 +95,13 @@
             let (addresses, purged, over) = (Arc::clone(&addresses), Arc::clone(&purged), Arc::clone(&over));
             std::thread::spawn(move || {
                 let (mut answered, mut refused, mut client) = (0u32, 0u32, None::<Client>);
-                let mut dice = 7 + i as u64;
+                let mut rng = 7 + i as u64;
                 let mut stream = 0;
                 // The front that is killed again and again answers what it can.
                 while stream < REQUESTS / 2 {
                     stream += 1;
-                    dice = dice.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
-                    let item = item((dice >> 33) % OBJECTS);
+                    rng = rng.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+                    let item = item((rng >> 33) % OBJECTS);
                     let sent = wall();
                     let connected = client.take().or_else(|| {
                         let socket = TcpStream::connect(*addresses[i].lock().unwrap()).ok()?;
--- a/purges/src/journal/tests.rs
+++ b/purges/src/journal/tests.rs
@@ -111,13 +111,13 @@
     let mut newer = Memory { kept: Some([b"CRPURGE2".to_vec(), vec![0; 40]].concat()), ..Memory::default() };
     assert_eq!(open(&mut newer).unwrap(), Opened::Newer);
     let bytes = record(ledger.get(20).unwrap());
-    let mut dice = 1u64;
+    let mut rng = 1u64;
     for _ in 0..50_000 {
         let mut odd = bytes.clone();
         for _ in 0..3 {
-            dice = dice.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
-            let at = (dice >> 33) as usize % odd.len();
-            odd[at] = (dice >> 20) as u8;
+            rng = rng.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+            let at = (rng >> 33) as usize % odd.len();
+            odd[at] = (rng >> 20) as u8;
         }
         let _ = (decode(&odd), parse(&odd), parse(&odd[8..]));
     }
--- a/purges/src/matching/tests.rs
+++ b/purges/src/matching/tests.rs
@@ -71,14 +71,14 @@
 fn patterns_put_together_match_as_they_did_one_by_one() {
     let mut together = Matcher::default();
     let mut single = Matcher::default();
-    let mut dice = 3u64;
+    let mut rng = 3u64;
     for n in 1..=200 {
-        dice = dice.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
-        let text = match dice >> 62 {
-            0 => format!("class-{}/*", (dice >> 40) % 9),
-            1 => format!("*/{:x}*/*", (dice >> 40) % 256),
-            2 => format!("*/*/{}", (dice >> 40) % 30),
-            _ => format!("class-[{}-9]/*{:x}/?", (dice >> 40) % 9, (dice >> 44) % 16),
+        rng = rng.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+        let text = match rng >> 62 {
+            0 => format!("class-{}/*", (rng >> 40) % 9),
+            1 => format!("*/{:x}*/*", (rng >> 40) % 256),
+            2 => format!("*/*/{}", (rng >> 40) % 30),
+            _ => format!("class-[{}-9]/*{:x}/?", (rng >> 40) % 9, (rng >> 44) % 16),
         };
         let purge = purge(n, n * 10, What::Pattern(text.into()));
         together.add(&purge, 0);
--- a/purges/tests/simulation.rs
+++ b/purges/tests/simulation.rs
@@ -21,9 +21,9 @@
 /// By so much the origin's clock may be ahead.
 const SKEW: Ms = 1_500;
 
-struct Dice(u64);
+struct Rng(u64);
 
-impl Dice {
+impl Rng {
     fn below(&mut self, n: u64) -> u64 {
         self.0 = self.0.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
         (self.0 >> 33) % n.max(1)
@@ -76,7 +76,7 @@
 }
 
 struct World {
-    dice: Dice,
+    rng: Rng,
     out: Guard,
     ledger: Ledger,
     boxes: Boxes,
@@ -121,7 +121,7 @@
             boxes.connected(id, 7, 0, true, 0);
         });
         World {
-            dice: Dice(seed),
+            rng: Rng(seed),
             out,
             ledger: Ledger::new(7),
             boxes,
@@ -136,14 +136,14 @@
     }
 
     fn purge(&mut self, now: Ms) {
-        let what = match self.dice.below(5) {
-            0 | 1 => What::Tag(TAGS[self.dice.below(4) as usize].into()),
-            2 => What::Object(self.dice.below(OBJECTS)),
-            3 => What::Group(self.dice.below(5) as u32),
-            _ => What::Pattern(format!("video/{:015x}*", self.dice.below(3)).into()),
+        let what = match self.rng.below(5) {
+            0 | 1 => What::Tag(TAGS[self.rng.below(4) as usize].into()),
+            2 => What::Object(self.rng.below(OBJECTS)),
+            3 => What::Group(self.rng.below(5) as u32),
+            _ => What::Pattern(format!("video/{:015x}*", self.rng.below(3)).into()),
         };
         // Now and then the same command again.
-        let id = self.dice.below(400).to_string().into();
+        let id = self.rng.below(400).to_string().into();
         let command = Command { what, id, who: "sim".into(), why: "".into(), all: false };
         if let Ok(Taken::New(purge)) = self.ledger.take(now, &command) {
             self.ledger.append(7, purge).unwrap();
@@ -157,13 +157,13 @@
                 continue;
             }
             let mut batch = self.ledger.batch(self.fronts[i].ledger.last()).unwrap();
-            if faults && self.dice.one_in(6) {
-                batch = self.ledger.batch(self.dice.below(self.ledger.last() + 1)).unwrap();
+            if faults && self.rng.one_in(6) {
+                batch = self.ledger.batch(self.rng.below(self.ledger.last() + 1)).unwrap();
             }
-            if faults && self.dice.one_in(8) {
+            if faults && self.rng.one_in(8) {
                 continue;
             }
-            let late = 10 + if faults { self.dice.below(400) } else { 0 };
+            let late = 10 + if faults { self.rng.below(400) } else { 0 };
             self.to_front.push((now + late, i, batch));
         }
     }
@@ -221,7 +221,7 @@
                     .retain(|object, (born, _)| !concerns(purge, *object, &TAGS) || *born >= purge.at + SKEW);
             }
             member.applied = member.applied.max(upto);
-            self.from_box.push((now + 5 + self.dice.below(30), id, upto));
+            self.from_box.push((now + 5 + self.rng.below(30), id, upto));
         }
         let (due, rest) = std::mem::take(&mut self.from_box).into_iter().partition(|m| m.0 <= now);
         self.from_box = rest;
@@ -232,14 +232,14 @@
             }
         }
         for batch in self.boxes.next(now * 1_000, self.ledger.base(), self.ledger.last()) {
-            self.to_box.push((now + 5 + self.dice.below(60), batch.to, batch.after, batch.upto));
+            self.to_box.push((now + 5 + self.rng.below(60), batch.to, batch.after, batch.upto));
         }
     }
 
     fn fault(&mut self, now: Ms) {
-        let id = 1 + self.dice.below(BOXES);
+        let id = 1 + self.rng.below(BOXES);
         let at = id as usize - 1;
-        match self.dice.below(5) {
+        match self.rng.below(5) {
             0 => {
                 // It dies, with what is out to it.
                 self.members[at].up = false;
@@ -251,12 +251,12 @@
             1 => self.back(now, id),
             2 => self.members[at].liar = !self.members[at].liar,
             3 => {
-                let front = self.dice.below(FRONTS as u64) as usize;
-                self.fronts[front].cut_until = now + self.dice.below(6_000);
+                let front = self.rng.below(FRONTS as u64) as usize;
+                self.fronts[front].cut_until = now + self.rng.below(6_000);
             }
             _ => {
                 // A front restarts without its memory: everything may have been purged.
-                let at = self.dice.below(FRONTS as u64) as usize;
+                let at = self.rng.below(FRONTS as u64) as usize;
                 let front = &mut self.fronts[at];
                 (front.index, front.matcher) = (Index::new(2_048), Matcher::default());
                 let held: Vec<_> = front.ledger.iter().cloned().collect();
@@ -273,7 +273,7 @@
             return;
         }
         member.up = true;
-        let empty = self.dice.one_in(2);
+        let empty = self.rng.one_in(2);
         if empty {
             member.copies.clear();
             member.applied = self.ledger.last();
@@ -288,8 +288,8 @@
 
     /// A request at a front: what it was answered with is checked.
     fn request(&mut self, now: Ms) -> Result<(), String> {
-        let (i, object) = (self.dice.below(FRONTS as u64) as usize, self.dice.below(OBJECTS));
-        let at = self.dice.below(BOXES) as usize;
+        let (i, object) = (self.rng.below(FRONTS as u64) as usize, self.rng.below(OBJECTS));
+        let at = self.rng.below(BOXES) as usize;
         // The origin's clock is ahead of the others'.
         let fresh = (now + SKEW - 100, now);
         let member = &mut self.members[at];
@@ -321,7 +321,7 @@
             Some(copy) if copy.0 >= floor || member.liar => copy,
             _ => {
                 // A fill, which takes its time; others may get what it brings.
-                let late = self.dice.below(300);
+                let late = self.rng.below(300);
                 member.fills.push((object, fresh, now + late));
                 fresh
             }
@@ -329,7 +329,7 @@
         // An answer is judged by the tags that it names itself, since an older version may carry others than those
         // that are known; one that names none is unknown.
         let names = tags_of(object, copy.1);
-        let named = !self.dice.one_in(4);
+        let named = !self.rng.one_in(4);
         let marks: Vec<u64> = names.iter().map(|t| tag_mark(t)).collect();
         let judged = match (named, self.out) {
             (true, _) => Some(&marks[..]),
@@ -375,13 +375,13 @@
         let mut now = START;
         while now < START + END {
             let faults = now < START + FAULTS_UNTIL;
-            if faults && self.dice.one_in(40) {
+            if faults && self.rng.one_in(40) {
                 self.purge(now);
             }
-            if self.dice.one_in(5) {
+            if self.rng.one_in(5) {
                 self.replicate(now, faults);
             }
-            if faults && self.dice.one_in(60) {
+            if faults && self.rng.one_in(60) {
                 self.fault(now);
             }
             if !faults {
@@ -389,7 +389,7 @@
                 (1..=BOXES).for_each(|id| self.back(now, id));
             }
             self.arrive(now);
-            if faults || self.dice.one_in(4) {
+            if faults || self.rng.one_in(4) {
                 self.request(now)?;
             }
             now += 5;
--- a/quorum/tests/cluster.rs
+++ b/quorum/tests/cluster.rs
@@ -8,9 +8,9 @@
 const FAULTS: u64 = 1_500;
 const END: u64 = 2_200;
 
-struct Dice(u64);
+struct Rng(u64);
 
-impl Dice {
+impl Rng {
     fn below(&mut self, n: u64) -> u64 {
         self.0 ^= self.0 << 13;
         self.0 ^= self.0 >> 7;
@@ -59,16 +59,16 @@
 }
 
 fn play(seed: u64, voters: u64, order: Order) -> Result<Found, String> {
-    let mut dice = Dice(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1);
+    let mut rng = Rng(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1);
     let ids: Vec<u64> = (1..=voters).collect();
-    let start = |id: u64, disk: &[u8], dice: &mut Dice| {
+    let start = |id: u64, disk: &[u8], rng: &mut Rng| {
         let found = disk::read(disk, owner(id)).map_err(|d| format!("seed {seed}: {d:?}"))?;
-        Node::new(id, &ids, found, 12 + dice.below(12) as usize)
+        Node::new(id, &ids, found, 12 + rng.below(12) as usize)
     };
     let mut all = Vec::new();
     for id in &ids {
         let disk = disk::new(owner(*id));
-        let node = Some(start(*id, &disk, &mut dice)?);
+        let node = Some(start(*id, &disk, &mut rng)?);
         let (unsynced, agreed) = (None, Vec::new());
         all.push(Voter {
             node,
@@ -90,28 +90,28 @@
         let faulty = now < FAULTS;
         for n in 0..all.len() {
             let id = ids[n];
-            if faulty && dice.one_in(400) && all[n].node.is_some() {
+            if faulty && rng.one_in(400) && all[n].node.is_some() {
                 // Killed: what was not synced is torn at any byte.
                 let voter = &mut all[n];
                 voter.node = None;
                 if let Some((bytes, _)) = voter.unsynced.take() {
-                    let kept = dice.below(bytes.len() as u64 + 1) as usize;
+                    let kept = rng.below(bytes.len() as u64 + 1) as usize;
                     voter.disk.extend(&bytes[..kept]);
                 }
-                voter.down_until = now + dice.below(150);
+                voter.down_until = now + rng.below(150);
                 found.kills += 1;
                 // Its disk is gone with it: fewer than half of them in all.
-                if (lost_disks + 1) * 2 < voters && dice.one_in(6) {
+                if (lost_disks + 1) * 2 < voters && rng.one_in(6) {
                     lost_disks += 1;
                     voter.disk = Vec::new();
                 }
             }
             let voter = &mut all[n];
-            if faulty && dice.one_in(500) {
-                voter.stopped_until = now + dice.below(100);
+            if faulty && rng.one_in(500) {
+                voter.stopped_until = now + rng.below(100);
             }
-            if faulty && now >= voter.cut.0 && dice.one_in(400) {
-                voter.cut = (now + dice.below(200), !dice.one_in(3), !dice.one_in(3));
+            if faulty && now >= voter.cut.0 && rng.one_in(400) {
+                voter.cut = (now + rng.below(200), !rng.one_in(3), !rng.one_in(3));
             }
             if voter.node.is_none() && (now >= voter.down_until || !faulty) {
                 if voter.disk.is_empty() && order == Order::EmptyVotes {
@@ -121,7 +121,7 @@
                 let Ok(whole) = disk::read(&voter.disk, owner(id)).map(|found| found.whole) else { continue };
                 voter.disk.truncate(whole);
                 voter.agreed.clear();
-                voter.node = Some(start(id, &voter.disk, &mut dice)?);
+                voter.node = Some(start(id, &voter.disk, &mut rng)?);
             }
             if faulty && now < voter.stopped_until {
                 continue;
@@ -137,7 +137,7 @@
             }
             if node.leads() {
                 terms.insert((id, now / 50));
-                if dice.one_in(4) {
+                if rng.one_in(4) {
                     command += 1;
                     if node.propose(&u64::to_le_bytes(command)).is_ok() {
                         proposed.insert(command, id);
@@ -161,7 +161,7 @@
                     out.extend(node.written());
                 }
                 if !write.is_empty() {
-                    let takes = if dice.one_in(30) { dice.below(60) } else { dice.below(2) };
+                    let takes = if rng.one_in(30) { rng.below(60) } else { rng.below(2) };
                     voter.unsynced = Some((write, now + takes));
                 }
             }
@@ -185,12 +185,12 @@
             let cut = voter.cut;
             for Sent { to, bytes } in out {
                 let far = all[to as usize - 1].cut;
-                let lost = now < cut.0 && cut.1 || now < far.0 && far.2 || dice.one_in(15);
+                let lost = now < cut.0 && cut.1 || now < far.0 && far.2 || rng.one_in(15);
                 if faulty && lost {
                     continue;
                 }
-                for _ in 0..if faulty && dice.one_in(25) { 2 } else { 1 } {
-                    let held = if faulty && dice.one_in(60) { dice.below(400) } else { dice.below(4) };
+                for _ in 0..if faulty && rng.one_in(25) { 2 } else { 1 } {
+                    let held = if faulty && rng.one_in(60) { rng.below(400) } else { rng.below(4) };
                     seq += 1;
                     way.insert((now + 1 + held, seq), (to, bytes.clone()));
                 }
--- a/rig/src/clients.rs
+++ b/rig/src/clients.rs
@@ -48,9 +48,9 @@
         let threads = each.map(|(front, which)| {
             let (history, addresses, asks) = (history.clone(), Arc::clone(addresses), asks.clone());
             let over = Arc::clone(&over);
-            let dice = (seed ^ ((which * count + front) as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15)) | 1;
+            let rng = (seed ^ ((which * count + front) as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15)) | 1;
             thread::spawn(move || {
-                Client { front, which, dice, stream: 0, asks }.run(&history, &addresses, &over)
+                Client { front, which, rng, stream: 0, asks }.run(&history, &addresses, &over)
             })
         });
         Clients { threads: threads.collect(), over }
@@ -75,7 +75,7 @@
     front: usize,
     /// Which of the clients of this front.
     which: usize,
-    dice: u64,
+    rng: u64,
     stream: u32,
     asks: Asks,
 }
@@ -94,10 +94,10 @@
     }
 
     fn roll(&mut self) -> u64 {
-        self.dice ^= self.dice << 13;
-        self.dice ^= self.dice >> 7;
-        self.dice ^= self.dice << 17;
-        self.dice
+        self.rng ^= self.rng << 13;
+        self.rng ^= self.rng >> 7;
+        self.rng ^= self.rng << 17;
+        self.rng
     }
 
     fn run(mut self, history: &History, addresses: &Addresses, over: &AtomicBool) {
--- a/rig/src/script.rs
+++ b/rig/src/script.rs
@@ -47,9 +47,9 @@
     pub answers: usize,
 }
 
-struct Dice(u64);
+struct Rng(u64);
 
-impl Dice {
+impl Rng {
     fn below(&mut self, n: usize) -> usize {
         self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
         let mut z = self.0;
@@ -62,26 +62,26 @@
 impl Script {
     /// So many steps. Half of the fronts and one cache at least stay untouched, so that there is service to be seen.
     pub fn from_seed(seed: u64, shape: Shape, count: usize) -> Self {
-        let mut dice = Dice(seed);
+        let mut rng = Rng(seed);
         let (mut down, mut stopped) = (BTreeSet::new(), BTreeSet::new());
         // Front 0 and cache 0 are never touched.
-        let front = |dice: &mut Dice| 1 + dice.below(shape.fronts - 1);
-        let place = |dice: &mut Dice| 1 + dice.below(shape.caches + shape.parents);
-        let ways = |dice: &mut Dice| {
-            let one = |dice: &mut Dice| match dice.below(4) {
+        let front = |rng: &mut Rng| 1 + rng.below(shape.fronts - 1);
+        let place = |rng: &mut Rng| 1 + rng.below(shape.caches + shape.parents);
+        let ways = |rng: &mut Rng| {
+            let one = |rng: &mut Rng| match rng.below(4) {
                 0 => Way::Pass,
-                1 => Way::Late(Duration::from_millis(50 + dice.below(300) as u64)),
-                2 => Way::Slow(200 + dice.below(2_000) as u64),
+                1 => Way::Late(Duration::from_millis(50 + rng.below(300) as u64)),
+                2 => Way::Slow(200 + rng.below(2_000) as u64),
                 _ => Way::Cut,
             };
-            [None, Some((one(dice), one(dice)))][dice.below(3).min(1)]
+            [None, Some((one(rng), one(rng)))][rng.below(3).min(1)]
         };
         let mut steps = Vec::new();
         while steps.len() < count {
             let most = shape.fronts / 2;
-            steps.push(match dice.below(12) {
+            steps.push(match rng.below(12) {
                 0 | 1 if down.len() + stopped.len() < most => {
-                    let some: BTreeSet<_> = (0..1 + dice.below(most)).map(|_| front(&mut dice)).collect();
+                    let some: BTreeSet<_> = (0..1 + rng.below(most)).map(|_| front(&mut rng)).collect();
                     let room = most - down.len() - stopped.len();
                     let free = some.into_iter().filter(|f| !down.contains(f) && !stopped.contains(f));
                     let some: Vec<usize> = free.take(room).collect();
@@ -90,7 +90,7 @@
                 }
                 2 | 3 if !down.is_empty() => Fault::Restart(std::mem::take(&mut down).into_iter().collect()),
                 4 if stopped.is_empty() && down.len() < most => {
-                    let one = front(&mut dice);
+                    let one = front(&mut rng);
                     if down.contains(&one) {
                         continue;
                     }
@@ -98,9 +98,9 @@
                     Fault::Stop(vec![one])
                 }
                 5 if !stopped.is_empty() => Fault::Go(std::mem::take(&mut stopped).into_iter().collect()),
-                6 => Fault::Feed(front(&mut dice), ways(&mut dice)),
-                7 => Fault::Link(dice.below(shape.sides), place(&mut dice), ways(&mut dice)),
-                8 => Fault::Reset(dice.below(shape.sides), place(&mut dice)),
+                6 => Fault::Feed(front(&mut rng), ways(&mut rng)),
+                7 => Fault::Link(rng.below(shape.sides), place(&mut rng), ways(&mut rng)),
+                8 => Fault::Reset(rng.below(shape.sides), place(&mut rng)),
                 9 => {
                     let moods = [
                         Mood::Answers(Duration::from_millis(1)),
@@ -115,17 +115,15 @@
                         Mood::Stubborn,
                         Mood::Dead,
                     ];
-                    Fault::Node(place(&mut dice), moods[dice.below(moods.len())])
+                    Fault::Node(place(&mut rng), moods[rng.below(moods.len())])
                 }
                 10 => {
                     let states = [State::Draining, State::Ready];
-                    Fault::Listed(place(&mut dice), states[dice.below(2)])
+                    Fault::Listed(place(&mut rng), states[rng.below(2)])
                 }
-                11 => match dice.below(4) {
-                    0 => {
-                        Fault::Service([Mode::Serves, Mode::Closes, Mode::Silent, Mode::Torn][dice.below(4)])
-                    }
-                    _ => Fault::Purge(dice.below(50) as u64),
+                11 => match rng.below(4) {
+                    0 => Fault::Service([Mode::Serves, Mode::Closes, Mode::Silent, Mode::Torn][rng.below(4)]),
+                    _ => Fault::Purge(rng.below(50) as u64),
                 },
                 _ => continue,
             });
--- a/standins/src/acme/authority.rs
+++ b/standins/src/acme/authority.rs
@@ -156,7 +156,7 @@
     nonces: BTreeSet<u64>,
     checks: Vec<Check>,
     last: u64,
-    dice: u64,
+    rng: u64,
     /// Requests answered, by the first step of their path.
     pub seen: BTreeMap<String, u64>,
 }
@@ -206,7 +206,7 @@
             nonces: BTreeSet::new(),
             checks: Vec::new(),
             last: 0,
-            dice: seed | 1,
+            rng: seed | 1,
             seen: BTreeMap::new(),
         }
     }
@@ -261,8 +261,8 @@
     }
 
     fn random(&mut self) -> u64 {
-        self.dice = self.dice.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
-        let x = self.dice;
+        self.rng = self.rng.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+        let x = self.rng;
         (x ^ (x >> 31)).wrapping_mul(0x9e37_79b9_7f4a_7c15)
     }
 
--- a/startup/src/calls.rs
+++ b/startup/src/calls.rs
@@ -9,8 +9,8 @@
 const SOON: Span = 500_000;
 /// A front's share of the budget as a wait between two calls, at least.
 const SHARE_LEAST: Span = 1_000_000;
-/// Waits are spread by so much of them to either side, by each front's own dice; less once the fleet is strewn evenly, which
-/// dice would undo.
+/// Waits are spread by so much of them to either side, by each front's own random numbers; less once the fleet is strewn evenly, which
+/// these would undo.
 const SPREAD: f64 = 0.25;
 const STREWN_SPREAD: f64 = 0.03;
 /// A connection that was heard over this long was well. What was told on a shorter one is known, but no reason for haste.
@@ -66,11 +66,11 @@
     heard: Time,
     /// When something whole was first heard on this connection.
     first: Option<Time>,
-    dice: u64,
+    rng: u64,
 }
 
 impl Calls {
-    /// The front of this number, from 0, of so many, with dice of its own; all up to `now` is known. Without a budget it calls
+    /// The front of this number, from 0, of so many, with random numbers of its own; all up to `now` is known. Without a budget it calls
     /// anew after a fifth of a second, however often that fails.
     pub fn new(now: Time, (number, fronts): (u32, u32), seed: u64, budget: Option<Budget>) -> Self {
         let fronts = fronts.max(1);
@@ -78,7 +78,7 @@
             let share = (f64::from(fronts) / b.calls_per_s.max(f64::MIN_POSITIVE) * 1e6) as Span;
             (share.max(SHARE_LEAST).min(b.wait_most), b.haste)
         };
-        let (place, dice, budget) = ((number % fronts, fronts), seed, budget.map(share));
+        let (place, rng, budget) = ((number % fronts, fronts), seed, budget.map(share));
         Calls {
             budget,
             place,
@@ -88,13 +88,13 @@
             began: now,
             heard: now,
             first: None,
-            dice,
+            rng,
         }
     }
 
     /// A number from 0 to 1.
     fn roll(&mut self) -> f64 {
-        (crate::dice::next(&mut self.dice) >> 11) as f64 / (1u64 << 53) as f64
+        (crate::rng::next(&mut self.rng) >> 11) as f64 / (1u64 << 53) as f64
     }
 
     /// When the first call is made by a front that starts: all of a fleet may start at one moment. One that learns of the list
--- a/startup/src/lib.rs
+++ b/startup/src/lib.rs
@@ -7,10 +7,10 @@
 #![deny(missing_docs)]
 
 mod calls;
-pub mod dice;
 mod peers;
 mod ramp;
 mod ready;
+pub mod rng;
 mod snapshot;
 
 pub use calls::{Budget, Calls, End};
--- a/startup/src/peers.rs
+++ b/startup/src/peers.rs
@@ -26,7 +26,7 @@
     agree: usize,
     every: Span,
     next: Time,
-    dice: u64,
+    rng: u64,
     offers: BTreeMap<usize, Offer>,
     /// Until when each rests that has failed, and how often in a row it has.
     rests: BTreeMap<usize, (Time, u32)>,
@@ -37,11 +37,11 @@
     pub fn new(now: Time, count: usize, agree: usize, every: Span, seed: u64) -> Self {
         let agree = agree.max(1);
         // It is asked before the service is called.
-        Peers { count, agree, every, next: now, dice: seed, offers: BTreeMap::new(), rests: BTreeMap::new() }
+        Peers { count, agree, every, next: now, rng: seed, offers: BTreeMap::new(), rests: BTreeMap::new() }
     }
 
     fn roll(&mut self) -> u64 {
-        crate::dice::next(&mut self.dice)
+        crate::rng::next(&mut self.rng)
     }
 
     /// When the next round is due.
--- a/startup/src/ramp.rs
+++ b/startup/src/ramp.rs
@@ -1,6 +1,6 @@
 //! When a front begins to use members that are new to it. Connections to a member are begun by all fronts that learn of it at one
 //! moment; a budget of them over the whole fleet makes that a ramp, and each front goes its own way through the members.
-use crate::dice::mixed;
+use crate::rng::mixed;
 use crate::{Span, Time};
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -387,9 +387,9 @@
 }
 
 /// A small generator of repeatable numbers.
-pub struct Dice(pub u64);
+pub struct Rng(pub u64);
 
-impl Dice {
+impl Rng {
     pub fn roll(&mut self, n: u64) -> u64 {
         self.0 = self.0.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
         (self.0 >> 33) % n
--- a/tests/deployments.rs
+++ b/tests/deployments.rs
@@ -15,38 +15,38 @@
 
 /// One to six hubs, one to eight locations of unequal size, one to six classes, with and without all that is optional.
 fn deployment(seed: u64) -> Deployment {
-    let mut dice = Dice(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15));
-    let (hubs, locations) = (1 + dice.roll(6), 1 + dice.roll(8));
-    let zone = hubs + dice.roll(locations);
-    let classes = (0..1 + dice.roll(6)).map(|_| {
-        let effect = match dice.roll(6) {
+    let mut rng = Rng(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+    let (hubs, locations) = (1 + rng.roll(6), 1 + rng.roll(8));
+    let zone = hubs + rng.roll(locations);
+    let classes = (0..1 + rng.roll(6)).map(|_| {
+        let effect = match rng.roll(6) {
             0 => Effect::Unsafe,
             // Windows shorter than any deadline, and longer.
-            1 => Effect::Keyed { group: KeyGroup::Zone, window: dice.roll(5_000) * MS },
-            2 => Effect::Keyed { group: KeyGroup::All, window: 1 + dice.roll(5_000) * MS },
-            3 => Effect::Keyed { group: KeyGroup::Cell, window: 50 * MS + dice.roll(950) * MS },
+            1 => Effect::Keyed { group: KeyGroup::Zone, window: rng.roll(5_000) * MS },
+            2 => Effect::Keyed { group: KeyGroup::All, window: 1 + rng.roll(5_000) * MS },
+            3 => Effect::Keyed { group: KeyGroup::Cell, window: 50 * MS + rng.roll(950) * MS },
             _ => Effect::Safe,
         };
-        let fresh = dice.roll(3) * 6 * S;
-        let grace = if fresh > 0 { dice.roll(2) * 5 * S } else { 0 };
-        let (aim, aim_stretch) = (100 * MS + dice.roll(900) * MS, dice.roll(4) as f64);
-        let write = effect != Effect::Safe && dice.roll(2) == 0;
-        Class { aim, aim_stretch, worth: (1 + dice.roll(5)) as f64, effect, write, fresh, grace }
+        let fresh = rng.roll(3) * 6 * S;
+        let grace = if fresh > 0 { rng.roll(2) * 5 * S } else { 0 };
+        let (aim, aim_stretch) = (100 * MS + rng.roll(900) * MS, rng.roll(4) as f64);
+        let write = effect != Effect::Safe && rng.roll(2) == 0;
+        Class { aim, aim_stretch, worth: (1 + rng.roll(5)) as f64, effect, write, fresh, grace }
     });
     let classes: Vec<_> = classes.collect();
-    let here = 1 + dice.roll(6) as u32;
-    let cold = |dice: &mut Dice, multiple| ColdLimits {
-        from: 0.06 + dice.roll(30) as f64 / 100.0,
-        warm_in: (5 + dice.roll(18)) * S,
+    let here = 1 + rng.roll(6) as u32;
+    let cold = |rng: &mut Rng, multiple| ColdLimits {
+        from: 0.06 + rng.roll(30) as f64 / 100.0,
+        warm_in: (5 + rng.roll(18)) * S,
         fall_multiple: multiple,
     };
-    let (parents, origin) = (dice.roll(5) > 0, dice.roll(8) > 0);
+    let (parents, origin) = (rng.roll(5) > 0, rng.roll(8) > 0);
     let zones = (hubs + locations) as usize;
     let routers_by_zone: Vec<u32> =
         (0..zones).map(|z| if z as u64 == zone { here } else { u32::from(z as u64 >= hubs) }).collect();
     let settings = Settings {
         zone: zone as u16,
-        routers: routers_by_zone.iter().sum::<u32>() * if dice.roll(4) == 0 { 60 } else { 1 },
+        routers: routers_by_zone.iter().sum::<u32>() * if rng.roll(4) == 0 { 60 } else { 1 },
         routers_by_zone,
         number: 0,
         classes,
@@ -54,19 +54,19 @@
         parent_kind: parents.then_some(PARENT),
         origin_kind: origin.then_some(ORIGIN),
         client_kb_per_s: 1000.0,
-        link_kb_per_s: if dice.roll(2) == 0 { 0.0 } else { 1_000.0 * (1 + dice.roll(60)) as f64 },
-        direct: dice.roll(2) == 0,
-        joins: dice.roll(2) == 0,
-        purge_done: (2 + dice.roll(6)) * S,
-        cold_cache: cold(&mut dice, 4.0),
-        cold_parent: cold(&mut dice, 2.0),
-        overload_span: 500 * MS + dice.roll(1_500) * MS,
-        connect_timeout: 200 * MS + dice.roll(800) * MS,
-        max_attempts: 1 + dice.roll(8) as u32,
-        second_copies: dice.roll(4) == 0,
-        cancel: dice.roll(4) > 0,
-        max_retry_after: dice.roll(2) * 500 * MS,
-        must_subscribe: dice.roll(4) == 0,
+        link_kb_per_s: if rng.roll(2) == 0 { 0.0 } else { 1_000.0 * (1 + rng.roll(60)) as f64 },
+        direct: rng.roll(2) == 0,
+        joins: rng.roll(2) == 0,
+        purge_done: (2 + rng.roll(6)) * S,
+        cold_cache: cold(&mut rng, 4.0),
+        cold_parent: cold(&mut rng, 2.0),
+        overload_span: 500 * MS + rng.roll(1_500) * MS,
+        connect_timeout: 200 * MS + rng.roll(800) * MS,
+        max_attempts: 1 + rng.roll(8) as u32,
+        second_copies: rng.roll(4) == 0,
+        cancel: rng.roll(4) > 0,
+        max_retry_after: rng.roll(2) * 500 * MS,
+        must_subscribe: rng.roll(4) == 0,
     };
     let mut members = Vec::new();
     let mut put = |kind: u8, zone: u64, weight: u64| {
@@ -82,10 +82,10 @@
         });
     };
     for location in hubs..hubs + locations {
-        (0..1 + dice.roll(7)).for_each(|_| put(CACHE, location, 4 + dice.roll(30)));
+        (0..1 + rng.roll(7)).for_each(|_| put(CACHE, location, 4 + rng.roll(30)));
     }
     if parents {
-        (0..1 + dice.roll(5)).for_each(|_| put(PARENT, dice.roll(hubs), 8 + dice.roll(60)));
+        (0..1 + rng.roll(5)).for_each(|_| put(PARENT, rng.roll(hubs), 8 + rng.roll(60)));
     }
     if origin {
         put(ORIGIN, 0, 1);
@@ -94,9 +94,9 @@
 }
 
 /// An end that the settings allow, for what was asked.
-fn end_of(dice: &mut Dice, filled: bool) -> (Status, Note) {
+fn end_of(rng: &mut Rng, filled: bool) -> (Status, Note) {
     use Status::*;
-    match dice.roll(24) {
+    match rng.roll(24) {
         0 => (Error, Note::None),
         1 => (Full, Note::None),
         2 => (ConnectFailed, Note::None),
@@ -119,59 +119,59 @@
 /// Plays one deployment; what was broken, and how many requests were served and attempts sent.
 fn play(seed: u64) -> (Vec<String>, usize, usize) {
     let Deployment { settings, members } = deployment(seed);
-    let mut dice = Dice(seed ^ 0x5eed);
+    let mut rng = Rng(seed ^ 0x5eed);
     let (zone, classes) = (settings.zone, settings.classes.len() as u64);
-    let (direct, most, sized) = (settings.direct, settings.max_attempts, dice.roll(2) == 0);
+    let (direct, most, sized) = (settings.direct, settings.max_attempts, rng.roll(2) == 0);
     let mut broken = Vec::new();
     let mut stand = Stand::new(settings, members.clone());
     let (mut next, mut served) = (0, 0);
     for _ in 0..STEPS {
-        match dice.roll(12) {
+        match rng.roll(12) {
             0..=4 => {
                 next += 1;
-                let mut request = ask(next, dice.roll(40));
-                request.class = dice.roll(classes) as u16;
-                request.group = dice.roll(4) as u32;
-                request.part = dice.roll(3) as u32;
+                let mut request = ask(next, rng.roll(40));
+                request.class = rng.roll(classes) as u16;
+                request.group = rng.roll(4) as u32;
+                request.part = rng.roll(3) as u32;
                 // The checker counts cold work as 300 ms each, so sizes that are told are of that mean at most.
                 request.size_kb = if sized { 300.0 } else { 0.0 };
-                request.left = 20 * MS + dice.roll(4_000) * MS;
+                request.left = 20 * MS + rng.roll(4_000) * MS;
                 stand.ask(request);
             }
             5..=8 => {
                 let live = stand.live();
                 if !live.is_empty() {
-                    let attempt = live[dice.roll(live.len() as u64) as usize].clone();
+                    let attempt = live[rng.roll(live.len() as u64) as usize].clone();
                     let filled = attempt.source.is_some_and(|s| s != attempt.target);
-                    let (status, note) = end_of(&mut dice, filled);
+                    let (status, note) = end_of(&mut rng, filled);
                     served += usize::from(status == Status::Ok);
-                    let report = (dice.roll(2) == 0).then(|| Report {
+                    let report = (rng.roll(2) == 0).then(|| Report {
                         inflight: None,
-                        link: (dice.roll(3) > 0).then(|| dice.roll(500) as f64 / 100.0),
+                        link: (rng.roll(3) > 0).then(|| rng.roll(500) as f64 / 100.0),
                     });
-                    let waited = dice.roll(2_000) * MS;
+                    let waited = rng.roll(2_000) * MS;
                     stand.end_with(&attempt, status, note, waited, report);
                 }
             }
-            9 => drop(stand.advance(dice.roll(250) * MS)),
+            9 => drop(stand.advance(rng.roll(250) * MS)),
             10 => {
-                let mut change = members[dice.roll(members.len() as u64) as usize].clone();
-                match dice.roll(6) {
+                let mut change = members[rng.roll(members.len() as u64) as usize].clone();
+                match rng.roll(6) {
                     _ if change.kind == ORIGIN => {}
                     0 => change.state = Listed::Draining,
                     1 => change.state = Listed::Gone,
-                    2 => change.started = stand.now - dice.roll(3_000) * MS,
-                    3 => drop(stand.tell(Event::ByHand(change.member, dice.roll(3) == 0))),
+                    2 => change.started = stand.now - rng.roll(3_000) * MS,
+                    3 => drop(stand.tell(Event::ByHand(change.member, rng.roll(3) == 0))),
                     _ => {}
                 }
-                let whole = dice.roll(20) == 0;
+                let whole = rng.roll(20) == 0;
                 let kind = if whole { ListKind::Full } else { ListKind::Delta };
                 let told = if whole { members.clone() } else { vec![change] };
                 stand.tell(Event::Members(kind, told));
             }
             _ => {
-                let object = (dice.roll(2) == 0).then_some(ObjectId(dice.roll(40)));
-                stand.tell(Event::Purged(object, dice.roll(4) as u32, dice.roll(400) * MS));
+                let object = (rng.roll(2) == 0).then_some(ObjectId(rng.roll(40)));
+                stand.tell(Event::Purged(object, rng.roll(4) as u32, rng.roll(400) * MS));
             }
         }
     }
--- a/tests/largest.rs
+++ b/tests/largest.rs
@@ -24,7 +24,7 @@
     let settings = Settings { second_copies: false, joins: true, classes, ..settings() };
     let connect = settings.connect_timeout;
     let mut stand = Stand::new(settings, usual());
-    let (mut rng, mut counts, mut sizes) = (Dice(seed), [(0, 0); 3], std::collections::BTreeMap::new());
+    let (mut rng, mut counts, mut sizes) = (Rng(seed), [(0, 0); 3], std::collections::BTreeMap::new());
     // When attempts end, and how.
     let mut ends: Vec<(Time, Sent, Status)> = Vec::new();
     let (mut next, mut cancelled) = (0, 0);
--- a/tests/many.rs
+++ b/tests/many.rs
@@ -17,7 +17,7 @@
     out: VecDeque<(Time, usize, Sent)>,
     /// Every attempt, with the member that it was for.
     sent: Vec<(Time, usize, u64)>,
-    dice: Dice,
+    rng: Rng,
     next: u64,
     now: Time,
 }
@@ -36,7 +36,7 @@
         });
         let stands: Vec<_> = stands.collect();
         let now = stands[0].now;
-        Fleet { stands, out: VecDeque::new(), sent: Vec::new(), dice: Dice(seed), next: 0, now }
+        Fleet { stands, out: VecDeque::new(), sent: Vec::new(), rng: Rng(seed), next: 0, now }
     }
 
     /// Plays on for a time: each router is asked ten times a second, and `dead` answers no connection.
@@ -47,9 +47,9 @@
             for n in 0..self.stands.len() {
                 let left = self.now - self.stands[n].now;
                 let mut begun = self.stands[n].advance(left);
-                if self.dice.roll(10) == 0 {
+                if self.rng.roll(10) == 0 {
                     self.next += 1;
-                    let object = self.dice.roll(5_000);
+                    let object = self.rng.roll(5_000);
                     begun.extend(self.stands[n].ask(ask(self.next, object)));
                 }
                 self.note(n, begun, dead);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -3,9 +3,9 @@
 use common::*;
 use cranesill::api::*;
 
-fn end_of(dice: &mut Dice, has_source: bool) -> (Status, Note) {
+fn end_of(rng: &mut Rng, has_source: bool) -> (Status, Note) {
     use Status::*;
-    match dice.roll(20) {
+    match rng.roll(20) {
         0 => (Error, Note::None),
         1 => (Full, Note::None),
         2 => (ConnectFailed, Note::None),
@@ -22,58 +22,58 @@
 }
 
 fn run(settings: Settings, seed: u64) -> Stand {
-    let mut dice = Dice(seed);
+    let mut rng = Rng(seed);
     let classes = settings.classes.len() as u64;
     let mut stand = Stand::new(settings, usual());
     let mut next = 1;
     for _ in 0..3000 {
-        match dice.roll(12) {
+        match rng.roll(12) {
             0..=5 => {
-                let mut request = ask(next, dice.roll(40));
-                request.class = dice.roll(classes) as u16;
-                request.group = dice.roll(4) as u32;
-                request.left = 20 * MS + dice.roll(4000) * MS;
+                let mut request = ask(next, rng.roll(40));
+                request.class = rng.roll(classes) as u16;
+                request.group = rng.roll(4) as u32;
+                request.left = 20 * MS + rng.roll(4000) * MS;
                 next += 1;
                 stand.ask(request);
             }
             6..=8 => {
                 let live = stand.live();
                 if !live.is_empty() {
-                    let attempt = live[dice.roll(live.len() as u64) as usize].clone();
+                    let attempt = live[rng.roll(live.len() as u64) as usize].clone();
                     let filled = attempt.source.is_some_and(|s| s != attempt.target);
-                    let (status, note) = end_of(&mut dice, filled);
-                    let waited = dice.roll(2000) * MS;
+                    let (status, note) = end_of(&mut rng, filled);
+                    let waited = rng.roll(2000) * MS;
                     stand.end(&attempt, status, note, waited);
                 }
             }
             9 => {
-                stand.advance(dice.roll(200) * MS);
+                stand.advance(rng.roll(200) * MS);
             }
-            10 if dice.roll(4) == 0 => {
-                let mut change = usual()[dice.roll(6) as usize].clone();
+            10 if rng.roll(4) == 0 => {
+                let mut change = usual()[rng.roll(6) as usize].clone();
                 if change.kind != ORIGIN {
-                    match dice.roll(3) {
+                    match rng.roll(3) {
                         0 => change.state = Listed::Draining,
                         1 => change.state = Listed::Gone,
-                        _ => change.started = stand.now - dice.roll(3000) * MS,
+                        _ => change.started = stand.now - rng.roll(3000) * MS,
                     }
                 }
                 stand.tell(Event::Members(ListKind::Delta, vec![change]));
             }
-            11 if dice.roll(4) == 0 => {
-                let object = (dice.roll(2) == 0).then_some(ObjectId(dice.roll(40)));
-                let age = dice.roll(400) * MS;
-                stand.tell(Event::Purged(object, dice.roll(4) as u32, age));
+            11 if rng.roll(4) == 0 => {
+                let object = (rng.roll(2) == 0).then_some(ObjectId(rng.roll(40)));
+                let age = rng.roll(400) * MS;
+                stand.tell(Event::Purged(object, rng.roll(4) as u32, age));
             }
-            10 if dice.roll(8) == 0 => {
-                let member = usual()[dice.roll(6) as usize].member;
-                stand.tell(Event::ByHand(member, dice.roll(6) == 0));
+            10 if rng.roll(8) == 0 => {
+                let member = usual()[rng.roll(6) as usize].member;
+                stand.tell(Event::ByHand(member, rng.roll(6) == 0));
             }
             _ => {
                 let live = stand.live();
                 let open: Vec<_> = live.iter().filter(|s| !stand.checker.closed(s.request)).collect();
-                if dice.roll(8) == 0 && !open.is_empty() {
-                    let gone = open[dice.roll(open.len() as u64) as usize].request;
+                if rng.roll(8) == 0 && !open.is_empty() {
+                    let gone = open[rng.roll(open.len() as u64) as usize].request;
                     stand.tell(Event::Gone(gone));
                 }
             }
