--- a/front/src/program/feed.rs
+++ b/front/src/program/feed.rs
@@ -19,7 +19,7 @@
 
 /// Follows the feed from the last event that is known.
 #[derive(Debug)]
-pub struct Feed {
+pub struct Discovery {
     address: SocketAddr,
     last: u64,
     scratch: Vec<u8>,
@@ -38,11 +38,11 @@
     pub called: u64,
 }
 
-impl Feed {
+impl Discovery {
     /// Is not connected yet: that is due soon.
     pub fn new(now: Time, address: SocketAddr, last: u64, mut calls: Calls, others: bool) -> Self {
         let (scratch, due) = (vec![0; READ_MOST], calls.first(now, others));
-        Feed {
+        Discovery {
             address,
             last,
             scratch,
--- a/front/src/program/members.rs
+++ b/front/src/program/members.rs
@@ -113,7 +113,7 @@
 
 /// All connections to members; they belong to a member's id, since an address may come to be another's.
 #[derive(Debug)]
-pub struct Members {
+pub struct CacheNodes {
     links: HashMap<usize, Link>,
     /// Connections of each member.
     of: HashMap<MemberId, Vec<usize>>,
@@ -134,10 +134,10 @@
     scratch: Vec<u8>,
 }
 
-impl Members {
+impl CacheNodes {
     /// Holds up to `links_most` connections, each with up to `streams` attempts; nobody waits for an answer longer than `whole`.
     pub fn new(links_most: usize, streams: usize, idle: Span, whole: Span) -> Self {
-        Members {
+        CacheNodes {
             links: HashMap::new(),
             of: HashMap::new(),
             listed: HashMap::new(),
--- a/front/src/program/members/tests.rs
+++ b/front/src/program/members/tests.rs
@@ -21,8 +21,8 @@
 const MEMBER: MemberId = MemberId(1);
 
 /// One member behind a listener, and up to so many connections.
-fn members(links_most: usize, listener: &std::net::TcpListener) -> Members {
-    let mut members = Members::new(links_most, 100, 15_000_000, 5_000_000);
+fn members(links_most: usize, listener: &std::net::TcpListener) -> CacheNodes {
+    let mut members = CacheNodes::new(links_most, 100, 15_000_000, 5_000_000);
     let state = Listed::Ready;
     let entry = Entry { member: MEMBER, kind: 0, zone: 0, cell: 0, weight: 1.0, started: 0, state };
     members.list(&entry, listener.local_addr().unwrap());
@@ -193,7 +193,7 @@
 fn any_order(seed: u64, links_most: usize) -> usize {
     let listeners: Vec<_> = (0..2).map(|_| std::net::TcpListener::bind("127.0.0.1:0").unwrap()).collect();
     let mut reactor = Reactor::new().unwrap();
-    let mut members = Members::new(links_most, 100, 15_000_000, 5_000_000);
+    let mut members = CacheNodes::new(links_most, 100, 15_000_000, 5_000_000);
     for (n, listener) in listeners.iter().enumerate() {
         listener.set_nonblocking(true).unwrap();
         let (member, state) = (MemberId(n as u64 + 1), Listed::Ready);
--- a/front/src/program/serve.rs
+++ b/front/src/program/serve.rs
@@ -10,10 +10,10 @@
 use super::drivers::snapshot::{purge_ms, wall_ms, Snapshots};
 use super::drivers::tls::Tls;
 use super::drivers::{slot_of, Driver, Effect, Purging, Secured, Turn};
-use super::feed::Feed;
+use super::feed::Discovery;
 use super::floors;
 use super::log::Log;
-use super::members::{Ends, Members};
+use super::members::{CacheNodes, Ends};
 use super::shared::{Shared, OUT_MOST};
 use super::signals::{drain, raised};
 use super::startup::{calls, known, snapshots, Known, Startup};
@@ -63,7 +63,7 @@
     Wake(Wake),
     Dial(usize),
     Unwritten(AttemptId),
-    Feed,
+    Discovery,
     Sweep,
     /// The end of the program goes on.
     Drain,
@@ -89,8 +89,8 @@
     deadlines: Deadlines<Due>,
     front: Front,
     clients: Clients,
-    members: Members,
-    feed: Feed,
+    nodes: CacheNodes,
+    discovery: Discovery,
     startup: Startup,
     /// What the list service tells is told to drivers.
     hears: bool,
@@ -164,8 +164,8 @@
         let startup = Startup::new(clock.now(), &config, daemon.startup.as_ref());
         let mut server = Server {
             front: Front::new(config.deployment.clone(), config.seed, config.room()),
-            members: Members::new(config.links_most(), limits.streams, limits.idle, whole),
-            feed: Feed::new(clock.now(), config.feed, last, calls, others),
+            nodes: CacheNodes::new(config.links_most(), limits.streams, limits.idle, whole),
+            discovery: Discovery::new(clock.now(), config.feed, last, calls, others),
             startup,
             hears: false,
             clock_told: false,
@@ -202,7 +202,7 @@
         server.take_over(now, true);
         server.look(now);
         server.get_ready(now);
-        server.deadlines.add(server.feed.due, Due::Feed);
+        server.deadlines.add(server.discovery.due, Due::Discovery);
         server.deadlines.add(now + SWEEP, Due::Sweep);
         Ok(server)
     }
@@ -338,11 +338,11 @@
                 Ok(json!({"known_objects": known, "matched": matched}))
             }
             "startup" => {
-                let mut shown = self.startup.shown(self.members.listed().count(), self.members.reached());
-                let (unheard, last) = self.feed.stands();
+                let mut shown = self.startup.shown(self.nodes.listed().count(), self.nodes.reached());
+                let (unheard, last) = self.discovery.stands();
                 shown["list"] = json!({
                     "last_event": last, "unheard_for_ms": unheard.map(|since| now.saturating_sub(since) / 1_000),
-                    "calls": self.feed.called, "next_call_in_ms": unheard.map(|_| self.feed.due.saturating_sub(now) / 1_000),
+                    "calls": self.discovery.called, "next_call_in_ms": unheard.map(|_| self.discovery.due.saturating_sub(now) / 1_000),
                 });
                 Ok(shown)
             }
@@ -356,10 +356,10 @@
                 "quiesced": self.quiesced.is_some(), "accepts_clients": !self.elsewhere(),
                 "limits_shared": self.config.halved,
                 "out_by_hand": self.out.iter().map(|id| name_of(*id)).collect::<Vec<_>>(),
-                "list": json!({"last_event": self.feed.stands().1, "clock_ahead_ms": self.front.ahead.ms(),
-                    "unheard_for_ms": self.feed.stands().0.map(|since| now.saturating_sub(since) / 1_000)}),
+                "list": json!({"last_event": self.discovery.stands().1, "clock_ahead_ms": self.front.ahead.ms(),
+                    "unheard_for_ms": self.discovery.stands().0.map(|since| now.saturating_sub(since) / 1_000)}),
                 "open_requests": self.front.open(), "clients": self.clients.len(),
-                "clients_most": self.config.clients_most(), "held_bytes": self.clients.held() + self.members.held(),
+                "clients_most": self.config.clients_most(), "held_bytes": self.clients.held() + self.nodes.held(),
                 "held_bytes_most": self.config.held_most(), "settings": self.daemon_file,
                 "purges": self.front.floors.as_ref().map(|f| json!({
                     "live_objects_groups_tags_patterns": f.counts(), "answers_refused": f.refused, "lies": f.lies,
@@ -379,12 +379,12 @@
             put(format!("handled.{class}.dropped"), counts.dropped);
             put(format!("handled.{class}.bad_gateway"), counts.bad_gateway);
         }
-        put("upstream_tries".into(), self.members.written);
+        put("upstream_tries".into(), self.nodes.written);
         put("in_progress".into(), self.front.open() as u64);
-        put("known_cache_nodes".into(), (self.members.listed().count() + self.startup.waiting()) as u64);
+        put("known_cache_nodes".into(), (self.nodes.listed().count() + self.startup.waiting()) as u64);
         put(
             "skipped_cache_nodes".into(),
-            self.members.listed().filter(|m| self.front.avoids(*m)).count() as u64,
+            self.nodes.listed().filter(|m| self.front.avoids(*m)).count() as u64,
         );
         all.into()
     }
@@ -394,7 +394,7 @@
         let text = args["node"].as_str().ok_or("node: missing")?;
         let id = member_id(text).ok_or("node: not s- and 8 hex digits")?;
         let known =
-            self.members.listed().any(|listed| listed == id) || self.startup.has(id) || self.front.avoids(id);
+            self.nodes.listed().any(|listed| listed == id) || self.startup.has(id) || self.front.avoids(id);
         if !known {
             return Err(format!("{text}: unknown"));
         }
@@ -416,7 +416,7 @@
             self.front.by_hand(now, id, out);
             let mut ends = Vec::new();
             if out {
-                self.members.leave_out(id, &mut ends);
+                self.nodes.leave_out(id, &mut ends);
             }
             self.settle(now, ends);
         }
@@ -458,7 +458,7 @@
     /// Shares the limits with another process of this front, or no longer.
     fn halve(&mut self, halved: bool) {
         if std::mem::replace(&mut self.config.halved, halved) != halved {
-            self.members.limit(self.config.links_most(), self.draining.map(|_| LINK_IDLE));
+            self.nodes.limit(self.config.links_most(), self.draining.map(|_| LINK_IDLE));
             self.front.set_room(self.config.room());
         }
     }
@@ -505,8 +505,8 @@
         let rank = |key: usize| match slot_of(key) {
             slot if slot > 0 && slot == self.first => 1,
             slot if slot > 0 => NODES + slot,
-            _ if self.feed.is(key) => 0,
-            _ if self.members.has(key) => NODES,
+            _ if self.discovery.is(key) => 0,
+            _ if self.nodes.has(key) => NODES,
             _ => 2,
         };
         events.sort_by_cached_key(|(key, ..)| (*key == LISTENER, rank(*key)));
@@ -529,7 +529,7 @@
             });
         }
         self.effects(now);
-        self.members.pause(now, self.clients.held() > self.config.room().bytes);
+        self.nodes.pause(now, self.clients.held() > self.config.room().bytes);
         Ok(self.parted(now))
     }
 
@@ -564,13 +564,13 @@
                 self.drive(now, slot_of(key), |driver, turn| driver.ready(turn, key, readable, writable));
                 self.effects(now);
             }
-            _ if self.feed.is(key) => {
-                self.feed.ready(now).into_iter().for_each(|news| self.news(now, news, Origin::Service));
-                self.deadlines.add(self.feed.due, Due::Feed);
+            _ if self.discovery.is(key) => {
+                self.discovery.ready(now).into_iter().for_each(|news| self.news(now, news, Origin::Service));
+                self.deadlines.add(self.discovery.due, Due::Discovery);
             }
-            _ if self.members.has(key) => {
+            _ if self.nodes.has(key) => {
                 let mut ends = Vec::new();
-                self.members.ready(now, key, readable, &mut ends);
+                self.nodes.ready(now, key, readable, &mut ends);
                 self.settle(now, ends);
             }
             _ if self.clients.has(key) => {
@@ -588,14 +588,14 @@
         let mut ends = Vec::new();
         match due {
             Due::Wake(wake) => self.front.wake(now, wake),
-            Due::Dial(key) => self.members.undialed(key, &mut ends),
-            Due::Unwritten(attempt) => self.members.withdraw(attempt, &mut ends),
-            Due::Feed if now >= self.feed.due => {
+            Due::Dial(key) => self.nodes.undialed(key, &mut ends),
+            Due::Unwritten(attempt) => self.nodes.withdraw(attempt, &mut ends),
+            Due::Discovery if now >= self.discovery.due => {
                 let key = self.key();
-                self.feed.go(now, &self.reactor, key);
-                self.deadlines.add(self.feed.due, Due::Feed);
+                self.discovery.go(now, &self.reactor, key);
+                self.deadlines.add(self.discovery.due, Due::Discovery);
             }
-            Due::Feed => {}
+            Due::Discovery => {}
             Due::Sweep => {
                 let gone = self.clients.sweep(now, self.config.room().bytes, self.config.held_most());
                 self.log.sweep();
@@ -605,9 +605,9 @@
                 }
                 self.hear(now, gone);
                 self.left(now);
-                self.members.sweep(now, &mut ends);
+                self.nodes.sweep(now, &mut ends);
                 self.get_ready(now);
-                if self.feed.heard() && self.hears {
+                if self.discovery.heard() && self.hears {
                     self.effects.push(Effect::Current);
                     self.effects(now);
                 }
@@ -708,10 +708,10 @@
         match Config::load(&self.config.file) {
             Ok(new) => {
                 tracing::info!(feed = %new.feed, "SIGHUP: configuration read");
-                if self.feed.move_to(now, new.feed) {
+                if self.discovery.move_to(now, new.feed) {
                     self.front.list_moved();
                 }
-                self.deadlines.add(now, Due::Feed);
+                self.deadlines.add(now, Due::Discovery);
             }
             Err(faults) => tracing::warn!(error = faults.join("; "), "the configuration stays as it was"),
         }
@@ -760,7 +760,7 @@
 
     fn hear(&mut self, now: Time, heard: Vec<ClientEvent>) {
         for one in heard {
-            self.front.holds(self.clients.held() + self.members.held());
+            self.front.holds(self.clients.held() + self.nodes.held());
             match one {
                 ClientEvent::Ask(from, ask) => self.front.take_in(now, from, ask),
                 ClientEvent::Bad(from, why) => {
@@ -789,7 +789,7 @@
 
     fn news(&mut self, now: Time, news: News, origin: Origin) {
         if self.hears {
-            self.effects.push(Effect::Heard(self.feed.stands().1, news.clone()));
+            self.effects.push(Effect::Heard(self.discovery.stands().1, news.clone()));
             self.effects(now);
         }
         match news {
@@ -817,7 +817,7 @@
 
     /// Takes over a list that peers hold, unless the service is heard or has told as much.
     fn take_list(&mut self, now: Time, list: Box<Snapshot>) {
-        if self.feed.heard() || list.number <= self.feed.stands().1 {
+        if self.discovery.heard() || list.number <= self.discovery.stands().1 {
             return;
         }
         let (event, age_ms) = (list.number, wall_ms().saturating_sub(list.at_ms));
@@ -828,7 +828,7 @@
             members = list.members.len(),
             "the list is taken from peers"
         );
-        self.feed.skip_to(list.number);
+        self.discovery.skip_to(list.number);
         // It does not grow younger by being taken.
         self.hears = false;
         list.news().into_iter().for_each(|news| self.news(now, news, Origin::Kept));
@@ -841,12 +841,12 @@
     fn take_members(&mut self, now: Time, whole: bool, list: Vec<Listing>, origin: Origin) {
         let mut ends = Vec::new();
         let entries: Vec<_> = list.iter().map(entry).collect();
-        let before: Vec<_> = if whole { self.members.listed().collect() } else { Vec::new() };
+        let before: Vec<_> = if whole { self.nodes.listed().collect() } else { Vec::new() };
         if whole {
             let ids: Vec<_> = entries.iter().map(|e| e.member).collect();
-            self.members.keep_only(&ids);
+            self.nodes.keep_only(&ids);
         }
-        entries.iter().zip(&list).for_each(|(entry, l)| self.members.list(entry, l.address));
+        entries.iter().zip(&list).for_each(|(entry, l)| self.nodes.list(entry, l.address));
         let mut left_out: Vec<_> =
             entries.iter().filter(|e| e.state != Listed::Ready).map(|e| e.member).collect();
         if whole {
@@ -854,12 +854,12 @@
         }
         let new: Vec<_> = entries.iter().filter(|e| e.state == Listed::Ready).map(|e| e.member).collect();
         self.front.members(now, whole, entries, origin);
-        left_out.into_iter().for_each(|id| self.members.leave_out(id, &mut ends));
+        left_out.into_iter().for_each(|id| self.nodes.leave_out(id, &mut ends));
         self.settle(now, ends);
         let dialled = if self.startup.dials() { new } else { Vec::new() };
         for member in dialled {
             let key = self.key();
-            if self.members.open(now, &self.reactor, key, member) {
+            if self.nodes.open(now, &self.reactor, key, member) {
                 self.deadlines.add(now + self.config.deployment.settings.connect_timeout, Due::Dial(key));
             }
         }
@@ -869,7 +869,7 @@
     }
 
     fn get_ready(&mut self, now: Time) {
-        let (used, reached) = (self.members.listed().count(), self.members.reached());
+        let (used, reached) = (self.nodes.listed().count(), self.nodes.reached());
         self.clients.ready = self.startup.ready(now, used, reached);
     }
 
@@ -894,14 +894,14 @@
                     let unwritten = due.min(now + self.config.deployment.limits.purge_grace);
                     let by = unwritten.min(fetch.latest).min(fetch.deadline);
                     let target = (attempt, to, by);
-                    let begun = self.members.send(now, &self.reactor, key, target, &fetch, &mut ends);
+                    let begun = self.nodes.send(now, &self.reactor, key, target, &fetch, &mut ends);
                     if let Some(key) = begun {
                         self.deadlines.add(due, Due::Dial(key));
                     }
                     self.deadlines.add(by, Due::Unwritten(attempt));
                 }
                 Command::Abort(attempt) => {
-                    self.members.abort(now, attempt, &mut ends);
+                    self.nodes.abort(now, attempt, &mut ends);
                     ends.insert(0, (attempt, End::CalledOff));
                 }
                 Command::Answer(to, answer) => self.clients.answer(now, to, answer),
--- a/front/tests/races.rs
+++ b/front/tests/races.rs
@@ -842,3 +842,34 @@
     assert_eq!(codes, [Some(0); 2]);
     assert!(asks(3));
 }
+
+#[test]
+fn answers_out_of_all_bounds_end_their_connection_alone_and_their_requests_move() {
+    let stage = Stage::new(|_| {});
+    let mut client = stage.client();
+    // One that is well, and has to stay so.
+    client.ask(1, "book-car", "20000", &[], b"keys");
+    let mut origin = link(&stage.origin);
+    let booking = origin.hear().unwrap();
+    let heads = [
+        "*4\r\n$16\r\n{}\r\n$3\r\nHIT\r\n$3000000000\r\n",
+        "*9999999\r\n",
+        "*4\r\n$-1\r\n",
+        "*4\r\n$16\r\n{}\r\n$99999999999999999999\r\n",
+    ];
+    for (n, head) in heads.iter().enumerate() {
+        let stream = 2 + n as u32;
+        client.ask(stream, "page-bits", "20000", &[("part", &stream.to_string())], b"");
+        let (_, mut cache) = any_link(&stage);
+        let fetch = cache.hear().unwrap();
+        cache.0.get_mut().write_all(head.replace("{}", &fetch[1]).as_bytes()).unwrap();
+        assert_eq!(cache.hear(), None, "{head}");
+        let (_, mut other) = any_link(&stage);
+        let fetch = other.hear().unwrap();
+        assert_eq!(fetch[1], format!("{stream:016x}"));
+        other.say(&fetch[1], "HIT", "-", "moved");
+        assert!(client.hear().unwrap().ends_with("moved"), "{head}");
+    }
+    origin.say(&booking[1], "HIT", "-", "booked");
+    assert!(client.hear().unwrap().ends_with("booked"));
+}
