--- a/front/tests/races.rs
+++ b/front/tests/races.rs
@@ -488,6 +488,12 @@
         client.send(20, 1, &[0]);
         assert!(client.hear().unwrap().starts_with("type 21"));
     }
+    // A connection to the node is up: what is sent on would be written at once.
+    other.ask(6, "page-bits", "5000", &[("part", "6")], b"");
+    let mut cache = link(&stage.caches[0]);
+    let fetch = cache.hear().unwrap();
+    cache.say(&fetch[1], "HIT", "-", "");
+    other.hear().unwrap();
     stage.while_stopped(|| {
         client.ask(2, "page-bits", "5000", &[], b"");
         client.send(12, 2, b"");
@@ -495,7 +501,6 @@
     client.send(20, 3, &[0]);
     assert!(client.hear().unwrap().starts_with("type 21 stream 3"));
     other.ask(7, "page-bits", "5000", &[("part", "7")], b"");
-    let mut cache = link(&stage.caches[0]);
     let first = cache.hear().unwrap();
     assert_eq!(first[1], format!("{:016x}", 7), "{first:?}");
 }
