--- a/front/tests/races.rs
+++ b/front/tests/races.rs
@@ -878,3 +878,30 @@
     origin.say(&booking[1], "HIT", "-", "booked");
     assert!(client.hear().unwrap().ends_with("booked"));
 }
+
+#[test]
+fn a_front_that_was_stopped_past_its_end_answers_what_it_has_and_what_has_come_and_ends() {
+    let mut stage = Stage::new(|config| {
+        (0..3).for_each(|class| config["settings"]["classes"][class]["deadline"] = 1_000_000.into());
+    });
+    let (mut waits, mut asks) = (stage.client(), stage.client());
+    asks.send(20, 1, &[0]);
+    assert!(asks.hear().unwrap().starts_with("type 21"));
+    waits.ask(1, "book-car", "50000", &[], b"keys");
+    let mut origin = link(&stage.origin);
+    origin.hear().unwrap();
+    stage.signal("-TERM");
+    let told = Instant::now();
+    assert!(waits.hear().unwrap().starts_with("type 30") && asks.hear().unwrap().starts_with("type 30"));
+    // It would have been over by then.
+    stage.while_stopped(|| {
+        asks.ask(2, "book-car", "50000", &[], b"keys");
+        while told.elapsed() < Duration::from_millis(2_500) {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    });
+    // The booking that is at the origin may have run: it is not refused, for its client would ask again.
+    assert!(waits.hear().unwrap().starts_with("type 11 stream 1: \\x03"));
+    assert!(asks.hear().unwrap().starts_with("type 11 stream 2"));
+    ended(&mut stage, told);
+}
