Wait in tests until the front has received a close that a test forces

Callers saw nothing: write_is_not_sent_on_a_connection_closed_by_the_node failed twice on busy cores with "no connection comes", because a write was sent on an idle connection that the test had closed. Cause: the tests of one file are threads of one process. While another one starts a program, the child holds a copy of each descriptor between fork and exec, so the dropped socket of the node is closed only then. The front is continued before that, reads an open connection and writes in good faith; a write that may have run is not repeated. The front is not at fault. Change: close_all closes and waits until the peer's socket shows it; the six places that close connections while the front is stopped use it. The check, its bound and the order of the events are as before.

--- a/front/tests/combined_faults.rs
+++ b/front/tests/combined_faults.rs
@@ -1,5 +1,6 @@
 //! Faults after idle periods, during long outages and in combination.
 mod common;
+use common::closing::close_all;
 use common::*;
 use cranesill_rig::{Behavior, ClusterSize, Observation, ServiceMode, State};
 use serde_json::Value;
@@ -87,11 +88,12 @@
     let (_, mut second) = accept_any_node(&setup);
     second.receive().unwrap();
     setup.while_stopped(|| {
-        for node in [first, second] {
+        for node in [&first, &second] {
             socket2::SockRef::from(node.0.get_ref())
                 .set_linger(Some(Duration::ZERO))
                 .unwrap();
         }
+        close_all([first, second].map(|node| node.0.into_inner()));
     });
     let (_, mut third) = accept_any_node(&setup);
     let fetch = third.receive().unwrap();
--- a/front/tests/common/mod.rs
+++ b/front/tests/common/mod.rs
@@ -1,5 +1,6 @@
 //! A front as a separate process, and scripted peers with blocking sockets on loopback.
 #![allow(dead_code)]
+pub mod closing;
 pub mod operations;
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, Read, Write};
--- a/front/tests/races.rs
+++ b/front/tests/races.rs
@@ -1,6 +1,7 @@
 //! Races between two events. A scripted peer holds back a byte, a response or a close until the other event has happened, or the
 //! front is stopped while both happen. `docs/design/races.md` lists the pairs.
 mod common;
+use common::closing::close_all;
 use common::*;
 use std::io::{BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -240,12 +241,12 @@
     origin.respond(&fetch[1], "HIT", "-", "booked");
     assert!(client.receive().unwrap().ends_with("booked"));
     setup.while_stopped(|| {
-        let mut origin = Some(origin);
+        let mut connection = Some(origin.0.into_inner());
         if closes_first {
-            drop(origin.take());
+            close_all(connection.take());
         }
         client.request(2, "book-car", "5000", &[], b"keys");
-        drop(origin);
+        close_all(connection);
     });
     let mut fresh = accept_node(&setup.origin);
     let fetch = fresh.receive().unwrap();
@@ -338,7 +339,7 @@
             .unwrap();
         all.push(client);
     }
-    setup.while_stopped(|| drop(all));
+    setup.while_stopped(|| close_all(all.into_iter().map(|client| client.0)));
     wait_since(Instant::now(), CANCELLATION_TIMEOUT);
     drop(accept(&setup.origin));
     drop(filler);
@@ -555,7 +556,7 @@
             socket2::SockRef::from(origin.0.get_ref())
                 .set_linger(linger)
                 .unwrap();
-            drop(origin);
+            close_all([origin.0.into_inner()]);
         });
         assert!(client.receive().unwrap().ends_with("booked"), "{stream}");
     }
@@ -615,7 +616,7 @@
     setup.while_stopped(|| {
         let mut departing = setup.client();
         departing.request(2, "page-bits", "5000", &[], b"");
-        drop(departing);
+        close_all([departing.0]);
         wait_since(Instant::now(), CANCELLATION_TIMEOUT);
     });
     wait_since(Instant::now(), CANCELLATION_TIMEOUT);
@@ -1081,7 +1082,9 @@
                     (1..=30).for_each(|stream| client.send(12, stream, b""));
                 }
             }
-            drop(resets.then(|| std::mem::take(&mut clients)));
+            if resets {
+                close_all(clients.drain(..).map(|client| client.0));
+            }
         });
         wait_since(Instant::now(), CANCELLATION_TIMEOUT);
         for (id, stream) in &mut *recorded.lock().unwrap() {
