Keep the connection to the list service at a reload that names the same address

Callers saw nothing directly, operators a gap in the list after a reload: until the service answered the next connection the front used nodes that had begun to drain and copies from before a purge. rapid_reloads_lose_no_event_and_no_request failed on busy cores. Cause: Discovery::reconnect_to closed the connection at every reload. If the reload for the seventh SIGHUP reads the file after it was replaced for the eighth, the eighth reload closes the connection that has just been made, with the events in flight on it. The same call overrode the budget for calls on a failing service. Change: move_to does nothing if the address is the same. An open connection and one being established stay, a silent one ends at its deadline, and without one the next call keeps its schedule. A new address is called at once, as before.

--- a/front/src/server/discovery.rs
+++ b/front/src/server/discovery.rs
@@ -98,12 +98,20 @@
         self.revision = self.revision.max(revision);
     }
 
-    /// Closes the connection and reconnects immediately, to this address, from the known revision. Returns whether the address has
-    /// changed.
-    pub fn reconnect_to(&mut self, now: Timestamp, address: SocketAddr) -> bool {
+    /// Moves to another address of the list service: closes the connection to the current one and connects immediately, from the
+    /// known revision. Returns whether the address has changed.
+    ///
+    /// With the same address nothing changes, whatever the state of the connection. Events may be in flight on an open connection.
+    /// One that is being established or has become silent still ends at its deadline. Without a connection the next call stays on
+    /// its schedule, since a whole fleet may reload during an outage.
+    pub fn move_to(&mut self, now: Timestamp, address: SocketAddr) -> bool {
+        if address == self.address {
+            return false;
+        }
+        self.address = address;
         self.stream = None;
         self.deadline = now;
-        std::mem::replace(&mut self.address, address) != address
+        true
     }
 
     /// Handles the deadline: closes a connection that timed out, and starts the next one when it is due.
--- a/front/src/server/event_loop/reload.rs
+++ b/front/src/server/event_loop/reload.rs
@@ -22,10 +22,10 @@
             }
         };
         tracing::info!(feed = %new.list_service, "SIGHUP: configuration read");
-        if self.discovery.reconnect_to(now, new.list_service) {
+        if self.discovery.move_to(now, new.list_service) {
             self.pipeline.discovery_moved();
+            self.timers.add(now, Timer::Discovery);
         }
-        self.timers.add(now, Timer::Discovery);
     }
 
     fn reload_settings(&mut self, now: Timestamp) {
--- a/front/tests/combined_faults.rs
+++ b/front/tests/combined_faults.rs
@@ -144,6 +144,36 @@
     assert!(client.receive().unwrap().ends_with("by the last list"));
 }
 
+/// A reload that finds the address of the list service unchanged must not close a connection on which events are in flight.
+#[test]
+fn repeated_reload_of_one_address_keeps_the_connection_to_the_list_service() {
+    let setup = TestFront::new(|_| {});
+    drop(accept_feed(&setup.feed));
+    let moved = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut config = setup.config.clone();
+    config["feed"] = moved.local_addr().unwrap().to_string().into();
+    std::fs::write(&setup.file, config.to_string()).unwrap();
+    setup.signal("-HUP");
+    let (mut feed, _) = accept_feed(&moved);
+    wait_for_line(&setup.log, "SIGHUP: configuration read");
+    setup.signal("-HUP");
+    wait_for_line(&setup.log, "SIGHUP: configuration read");
+    // The turn of the reload is over once a later request is answered.
+    assert!(setup.readiness().unwrap().starts_with("type 21"));
+    let mut client = setup.client();
+    let nodes = [0, 1]
+        .map(|i| node_record(CACHE_IDS[i], setup.caches[i].local_addr().unwrap(), 1, 0))
+        .concat();
+    // Both arrive in one turn, in which the event is applied first.
+    setup.while_stopped(|| {
+        feed.write_all(&feed_event(2, 2, &nodes)).unwrap();
+        client.request(1, "page-bits", "20000", &[], b"");
+    });
+    const ORIGIN: usize = 2;
+    let (node, _connection) = accept_any_node(&setup);
+    assert_eq!(node, ORIGIN, "an event on the open connection was lost");
+}
+
 #[test]
 fn requests_with_short_deadlines_are_answered_in_time_by_silent_nodes() {
     let setup = TestFront::new(|_| {});
