Log the open attempts for endpoints that a list excludes

Cause: an attempt that a node receives after a front has applied a drain may have been in flight by then, or may have been sent by a wrong decision. Neither log nor counters told one from the other. Change: exclude returns how many attempts stay in flight and how many were withdrawn; one line for each list that concerns any, with the revision. A list that concerns none logs nothing, and the line has the limits of all info lines.

--- a/front/src/server/event_loop/endpoints.rs
+++ b/front/src/server/event_loop/endpoints.rs
@@ -6,6 +6,7 @@
 use crate::routing::EventSource;
 use crate::server::drivers::snapshot::wall_clock_ms;
 use crate::server::drivers::{Effect, EndpointAddress, EndpointEffect};
+use crate::server::upstream::ExcludedAttempts;
 use cranesill::api::{EndpointEntry, EndpointId, EndpointState, ListKind, Timestamp};
 use std::collections::HashSet;
 
@@ -140,9 +141,11 @@
         self.pipeline.apply_endpoints(now, kind, entries, source);
         let mut ends = Vec::new();
         let not_ready = not_ready.into_iter().map(|(_, endpoint)| endpoint);
+        let mut excluded = ExcludedAttempts::default();
         for endpoint in not_ready.chain(removed) {
-            self.upstream.exclude(endpoint, &mut ends);
+            excluded += self.upstream.exclude(endpoint, &mut ends);
         }
+        self.log_excluded(excluded);
         self.run_commands(now, ends);
         if self.startup.preconnects() {
             self.preconnect(now, ready.into_iter().map(|(_, endpoint)| endpoint));
@@ -152,6 +155,21 @@
         }
     }
 
+    /// Logs the open attempts for endpoints that the list excludes, if there are any. An attempt that such an endpoint receives
+    /// afterwards was either in flight by then or decided by an older list.
+    fn log_excluded(&self, attempts: ExcludedAttempts) {
+        if attempts == ExcludedAttempts::default() {
+            return;
+        }
+        tracing::info!(
+            kind = "list",
+            event = self.discovery.revision(),
+            in_flight = attempts.in_flight,
+            withdrawn = attempts.withdrawn,
+            "endpoints excluded by the list: attempts in flight continue, unwritten ones are withdrawn"
+        );
+    }
+
     /// Removes and returns the endpoints that a complete list does not contain.
     fn remove_unlisted(&mut self, entries: &[EndpointEntry]) -> Vec<EndpointId> {
         let listed: HashSet<_> = entries.iter().map(|entry| entry.endpoint).collect();
--- a/front/src/server/upstream.rs
+++ b/front/src/server/upstream.rs
@@ -6,6 +6,7 @@
 mod withdrawal;
 use self::connection::Connection;
 use self::redial::Redials;
+pub use self::withdrawal::ExcludedAttempts;
 use crate::routing::{AttemptEnd, AttemptId, Fetch, TransactionId};
 use cranesill::api::{EndpointEntry, EndpointId, EndpointState, Micros, Timestamp};
 use std::collections::{HashMap, HashSet};
--- a/front/src/server/upstream/tests.rs
+++ b/front/src/server/upstream/tests.rs
@@ -125,12 +125,17 @@
             &mut ends,
         );
     }
-    upstream.exclude(EndpointId(2), &mut ends);
+    let only_withdrawn = |withdrawn| ExcludedAttempts {
+        in_flight: 0,
+        withdrawn,
+    };
+    let excluded = upstream.exclude(EndpointId(2), &mut ends);
+    assert_eq!(excluded, only_withdrawn(1));
     assert!(
         matches!(ends[..], [(two, AttemptEnd::NoConnection)] if two == attempt(2)),
         "{ends:?}"
     );
-    upstream.exclude(ENDPOINT, &mut ends);
+    assert_eq!(upstream.exclude(ENDPOINT, &mut ends), only_withdrawn(2));
     assert_eq!(ends.len(), 3);
     // The connections are established now; nothing may be written on them.
     for key in 1..=3 {
@@ -138,6 +143,19 @@
         upstream.ready(0, key, false, &mut ends);
     }
     assert_eq!((upstream.attempts_written, ends.len()), (0, 3));
+    // A written attempt stays open.
+    let target = Target {
+        attempt: attempt(4),
+        endpoint: ENDPOINT,
+        write_deadline: Timestamp::MAX,
+    };
+    upstream.send(0, &reactor, 4, target, &fetch(4), &mut ends);
+    let in_flight = ExcludedAttempts {
+        in_flight: 1,
+        withdrawn: 0,
+    };
+    assert_eq!(upstream.exclude(ENDPOINT, &mut ends), in_flight);
+    assert_eq!((upstream.attempts_written, ends.len()), (1, 3));
 }
 
 #[test]
@@ -392,7 +410,7 @@
                 }
             }
             10 => match random(3) {
-                0 => upstream.exclude(EndpointId(1 + random(2)), &mut ends),
+                0 => drop(upstream.exclude(EndpointId(1 + random(2)), &mut ends)),
                 1 => wanted
                     .get(&request)
                     .copied()
--- a/front/src/server/upstream/withdrawal.rs
+++ b/front/src/server/upstream/withdrawal.rs
@@ -4,6 +4,22 @@
 use crate::routing::{AttemptEnd, AttemptId};
 use cranesill::api::{EndpointId, Micros, Timestamp};
 
+/// Open attempts that concerned an endpoint when it was excluded.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ExcludedAttempts {
+    /// Attempts that the endpoint may have received; they stay open.
+    pub in_flight: usize,
+    /// Attempts that were withdrawn before any of them was written.
+    pub withdrawn: usize,
+}
+
+impl std::ops::AddAssign for ExcludedAttempts {
+    fn add_assign(&mut self, other: Self) {
+        self.in_flight += other.in_flight;
+        self.withdrawn += other.withdrawn;
+    }
+}
+
 /// A connection is retired when cancelled attempts have waited for this time in total without any data received.
 const MAX_SILENT_WAIT: Micros = 1_000_000;
 
@@ -74,21 +90,31 @@
     /// Withdraws unwritten attempts for an endpoint that is draining, removed or cordoned, and those that name it as the source for
     /// a fill. Their connections may be established after the endpoint stops accepting new work. The results count against no
     /// endpoint.
-    pub fn exclude(&mut self, endpoint: EndpointId, ends: &mut Ends) {
-        let mut excluded = Vec::new();
+    pub fn exclude(&mut self, endpoint: EndpointId, ends: &mut Ends) -> ExcludedAttempts {
+        let ends_before = ends.len();
+        let mut concerned = 0;
+        let mut unwritten = Vec::new();
         for connection in self.connections.values() {
             let is_target = connection.endpoint == endpoint;
             let attempts = connection.open_attempts.values();
-            let concerned = attempts
-                .filter(|sent| !sent.written && (is_target || sent.source == Some(endpoint)));
-            excluded.extend(concerned.map(|sent| sent.attempt));
+            for sent in attempts.filter(|sent| is_target || sent.source == Some(endpoint)) {
+                concerned += 1;
+                if !sent.written {
+                    unwritten.push(sent.attempt);
+                }
+            }
         }
-        excluded.sort_unstable();
-        for attempt in excluded {
+        unwritten.sort_unstable();
+        for attempt in unwritten {
             self.withdraw_unwritten(attempt, AttemptEnd::NoConnection, ends);
         }
+        let in_flight = concerned - (ends.len() - ends_before);
         let waiting = self.redials.exclude(endpoint).into_iter();
         ends.extend(waiting.map(|attempt| (attempt, AttemptEnd::NoConnection)));
+        ExcludedAttempts {
+            in_flight,
+            withdrawn: ends.len() - ends_before,
+        }
     }
 
     /// Withdraws an attempt with this result if none of it is written.
