Do not count attempts in flight at the adoption of a list as sent after it

Callers saw nothing: lists_of_faulty_peers_are_not_used failed once on busy cores with one attempt at a draining node where none is allowed. Cause: a restarted front serves by its configuration until it adopts the list of its peers. The test counts from the log line of that; an attempt that was written just before is noted by the node's thread some milliseconds later on busy cores. The front is not at fault. Change: a front may have as many attempts after the adoption as it logged in flight, and none for requests that were sent to it afterwards.

--- a/front/tests/fleet_faults.rs
+++ b/front/tests/fleet_faults.rs
@@ -3,6 +3,7 @@
     Behavior, ClusterSize, Link, Observation, Script, ServiceMode, State, TestCluster, Transmission,
 };
 use serde_json::{json, Value};
+use std::collections::HashSet;
 use std::path::Path;
 use std::time::Duration;
 
@@ -308,6 +309,60 @@
         .count()
 }
 
+/// Attempts of a front for excluded endpoints that were in flight when it adopted the list of its peers, as it logged.
+fn in_flight_at_adoption(cluster: &TestCluster, front: usize) -> usize {
+    let log = cluster.fleet.log(front);
+    // The log contains all starts of the process.
+    let (_, after_adoption) = log
+        .rsplit_once("the list is taken from peers")
+        .expect("the front adopted a list");
+    let excluded = after_adoption
+        .lines()
+        .filter(|line| line.contains("endpoints excluded by the list"));
+    let in_flight = excluded.filter_map(|line| line.split_once(" in_flight=")?.1.split(' ').next());
+    in_flight.map(|count| count.parse::<usize>().unwrap()).sum()
+}
+
+/// Asserts that restarted fronts, which adopted a list before `from`, have sent nothing to a cache that drains in it since.
+///
+/// An attempt that was in flight at the adoption may arrive later than `from`: a front may have at most as many of them as it
+/// logged, and none for a request that was sent to it afterwards.
+fn assert_no_attempts_since_adoption(
+    cluster: &TestCluster,
+    index: usize,
+    fronts: &[usize],
+    from: Duration,
+) {
+    for front in fronts {
+        let received = attempts_to_cache(cluster, index, &[*front], from);
+        let in_flight = in_flight_at_adoption(cluster, *front);
+        assert!(
+            received <= in_flight,
+            "front {front}: the draining cache received {received} attempts, {in_flight} were in flight at the adoption"
+        );
+    }
+    let id = cluster.nodes.all[index].0;
+    let history = cluster.history.observations();
+    let requests: HashSet<u64> = history
+        .iter()
+        .filter_map(|(at, seen)| match seen {
+            Observation::ClientRequest { front, txn } if *at >= from && fronts.contains(front) => {
+                Some(*txn)
+            }
+            _ => None,
+        })
+        .collect();
+    assert!(!requests.is_empty(), "no request was sent to the fronts");
+    let later = history.iter().filter(
+        |(_, seen)| matches!(seen, Observation::Attempt { node, txn, .. } if *node == id && requests.contains(txn)),
+    );
+    assert_eq!(
+        later.count(),
+        0,
+        "the draining cache received attempts of later requests"
+    );
+}
+
 #[test]
 fn list_on_disk_is_used_during_an_outage_and_an_invalid_one_is_ignored() {
     let folder = tempfile::tempdir().unwrap();
@@ -742,11 +797,7 @@
     }
     let from = cluster.history.now();
     cluster.wait_served("responses with the list of peers", 300);
-    assert_eq!(
-        attempts_to_cache(&cluster, 1, &[0, 1], from),
-        0,
-        "the draining cache received attempts"
-    );
+    assert_no_attempts_since_adoption(&cluster, 1, &[0, 1], from);
     assert!(
         attempts_to_cache(&cluster, 0, &[0, 1], from) > 0,
         "the ready cache received no attempts"
@@ -916,11 +967,7 @@
     wait(&cluster, 0, had);
     let from = cluster.history.now();
     cluster.wait_served("responses with the list of peers", 200);
-    assert_eq!(
-        attempts_to_cache(&cluster, 1, &[0], from),
-        0,
-        "the draining cache received attempts"
-    );
+    assert_no_attempts_since_adoption(&cluster, 1, &[0], from);
     std::thread::sleep((stopped + 10 * S).saturating_sub(cluster.history.now()));
     cluster.set_stopped(&[3], false);
     // The continued front serves its list again.
