Let the endless writer of the race tests write once more after it is stopped

Callers saw nothing: node_that_never_stops_sending_is_disconnected failed once in 28 runs of races.rs beside 12 to 18 busy loops with "the front did not close the connection". Cause: the writer read its stop flag after a write. A write that ended just before the front closed the connection, followed by the stop, counted as a connection that was still open. Evidence: 7 of 300 runs failed, 12 at once beside 48 busy loops; in all 7 the front had logged "connection lost ... invalid data" before the stop. Change: the flag is read before the write, so that one write begins after the stop; it fails if the front has closed the connection. The opposite use, in endless_list_events_do_not_block_clients, is checked by a later write than before.

--- a/front/tests/races.rs
+++ b/front/tests/races.rs
@@ -64,10 +64,12 @@
         let stop = Arc::new(AtomicBool::new(false));
         let stopped = Arc::clone(&stop);
         let writes = move || loop {
+            // Read before the write: one that began before the front closed the connection may have succeeded.
+            let is_last = stopped.load(Ordering::Relaxed);
             if stream.write_all(&bytes).is_err() {
                 return true;
             }
-            if stopped.load(Ordering::Relaxed) {
+            if is_last {
                 return false;
             }
         };
