Return slow-start charges of attempts that did not reach the endpoint

Callers saw requests that waited or were rejected after connection failures to a cache that had just started, though it had taken nothing. Found by reading. Cause: attempts are charged to the slow-start budgets of target and source; only the source's charge was returned, and only after a hit. Change: both charges are returned if the attempt was not sent or its connection failed.

--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -1,6 +1,8 @@
 //! Dispatch: sends an attempt and acquires the capacity that it needs.
 use super::endpoint::Role;
-use super::request_state::{Attempt, PendingRequest, Probes, Resource, Route, TimerPurpose};
+use super::request_state::{
+    Attempt, PendingRequest, Probes, Resource, Route, SlowStartCharges, TimerPurpose,
+};
 use super::router::Router;
 use super::units::MILLISECOND;
 use crate::api::{Action, Micros, RequestId};
@@ -46,7 +48,7 @@
                 target: self.is_suspect(route.target),
                 source: other_source.is_some_and(|at| self.is_suspect(at)),
             },
-            slow_start_charge_us: 0.0,
+            slow_start_charges: SlowStartCharges::default(),
             uses_link: !pending.class.write && from_outside,
             upstream_origin: route
                 .source
@@ -73,11 +75,14 @@
             if is_probe {
                 self.endpoints[at].health.start_probe();
             }
-            if self.is_warming_up(at) {
-                self.endpoints[at].slow_start_budget.level -= mean_us;
-                attempt.slow_start_charge_us = if at == target { 0.0 } else { mean_us };
-            }
         }
+        attempt.slow_start_charges = SlowStartCharges {
+            target: self.charge_slow_start(target, mean_us),
+            source: attempt
+                .route
+                .other_source()
+                .and_then(|source| self.charge_slow_start(source, mean_us)),
+        };
     }
 
     fn set_overdue_timer(&mut self, pending: &PendingRequest) {
--- a/src/policy/outcomes.rs
+++ b/src/policy/outcomes.rs
@@ -112,13 +112,10 @@
             };
             self.adapt_limit(Resource::Link, signal);
         }
-        if let Some(source) = attempt.route.other_source() {
+        if attempt.route.other_source().is_some() {
             self.fills_in_flight.remove(&pending.part_key());
-            if matches!(outcome.note, FillNote::Hit | FillNote::Stale) {
-                // A hit did not reach the source, so the charge to its slow-start budget is returned.
-                self.endpoints[source].slow_start_budget.level += attempt.slow_start_charge_us;
-            }
         }
+        self.return_slow_start_charges(attempt, outcome);
     }
 
     /// Updates the request and the concurrency limits, and returns the remaining consequences.
--- a/src/policy/request_state.rs
+++ b/src/policy/request_state.rs
@@ -109,6 +109,22 @@
     pub source: bool,
 }
 
+/// Charge of an attempt to the slow-start budget of an endpoint.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SlowStartCharge {
+    /// Transfer time in microseconds.
+    pub amount_us: f64,
+    /// The start of the endpoint whose budget was charged; a later start has a budget of its own.
+    pub started_at: Timestamp,
+}
+
+/// Charges of an attempt to the slow-start budgets of its endpoints.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct SlowStartCharges {
+    pub target: Option<SlowStartCharge>,
+    pub source: Option<SlowStartCharge>,
+}
+
 /// One attempt of a request.
 #[derive(Clone, Debug)]
 pub(crate) struct Attempt {
@@ -118,8 +134,7 @@
     /// Whether the attempt was cancelled, or must not be cancelled because a response has begun.
     pub cancelled: bool,
     pub probes: Probes,
-    /// Transfer time in microseconds charged to the slow-start budget of the source.
-    pub slow_start_charge_us: f64,
+    pub slow_start_charges: SlowStartCharges,
     /// Whether a miss is transferred over the link into the zone.
     pub uses_link: bool,
     /// The origin, if a parent is known to have to fetch from it.
--- a/src/policy/slow_start.rs
+++ b/src/policy/slow_start.rs
@@ -1,8 +1,9 @@
 //! Slow start: limits the load of an endpoint that started recently.
 use super::endpoint::{Endpoint, EndpointIndex, Role};
 use super::rendezvous_hash::mix;
+use super::request_state::{Attempt, SlowStartCharge};
 use super::router::Router;
-use crate::api::Timestamp;
+use crate::api::{FillNote, Outcome, Status, Timestamp};
 
 /// Fraction of the overload multiple that is offered to an endpoint in slow start; the rest is a margin for load that
 /// this front does not observe.
@@ -62,6 +63,42 @@
         budget.level > 0.0 && position % (fronts as u64) < senders as u64
     }
 
+    /// Charges an attempt to the budget of an endpoint, if the endpoint is in slow start.
+    pub(super) fn charge_slow_start(
+        &mut self,
+        at: EndpointIndex,
+        amount_us: f64,
+    ) -> Option<SlowStartCharge> {
+        if !self.is_warming_up(at) {
+            return None;
+        }
+        let endpoint = &mut self.endpoints[at];
+        endpoint.slow_start_budget.level -= amount_us;
+        Some(SlowStartCharge {
+            amount_us,
+            started_at: endpoint.last_start(),
+        })
+    }
+
+    /// Returns the charges of an ended attempt to endpoints that did not receive it.
+    pub(super) fn return_slow_start_charges(&mut self, attempt: &Attempt, outcome: &Outcome) {
+        let missed_target = matches!(outcome.status, Status::NotSent | Status::ConnectFailed);
+        let missed_source =
+            missed_target || matches!(outcome.note, FillNote::Hit | FillNote::Stale);
+        if missed_target {
+            self.return_slow_start_charge(attempt.route.target, attempt.slow_start_charges.target);
+        }
+        if let Some(source) = attempt.route.other_source().filter(|_| missed_source) {
+            self.return_slow_start_charge(source, attempt.slow_start_charges.source);
+        }
+    }
+
+    fn return_slow_start_charge(&mut self, at: EndpointIndex, charge: Option<SlowStartCharge>) {
+        let endpoint = &mut self.endpoints[at];
+        let charge = charge.filter(|charge| charge.started_at == endpoint.last_start());
+        endpoint.slow_start_budget.level += charge.map_or(0.0, |charge| charge.amount_us);
+    }
+
     fn longest_mean_transfer_time_us(&self) -> f64 {
         let means = self.mean_transfer_time_us.iter();
         means.fold(1.0, |longest, mean| longest.max(*mean))
