Name settings that need a restart at every reload

Operators saw the warning "changed settings need a restart" at the first reload after a change of purges or startup, and nothing at the next, although the old values were still in use. Found by reading. Cause: keep_until_restart restored the running values of control, tls and certs alone, so that the next reload was compared with the file for the other sections. Change: in_effect, beside the list of what a reload applies, takes the running settings apart by name; a new section does not compile until it is treated. Result: the new test checks all five sections, changed, removed and added.

--- a/daemon/src/diff.rs
+++ b/daemon/src/diff.rs
@@ -1,5 +1,5 @@
 //! Compares two settings files: which changes a reload applies, and which need a restart.
-use crate::types::Daemon;
+use crate::types::{Certs, Daemon, Tls};
 use serde_json::Value;
 use std::collections::BTreeSet;
 
@@ -48,6 +48,50 @@
     }
 }
 
+/// Returns the settings in effect after a reload: `new`, with the running values of everything that needs a restart. A further
+/// reload is compared with them, so that it names the same changes again.
+pub fn in_effect(running: Daemon, new: Daemon) -> Daemon {
+    // Names every section, so that a new one cannot be forgotten here.
+    let Daemon {
+        log: _,
+        control,
+        tls,
+        certs,
+        purges,
+        startup,
+    } = running;
+    Daemon {
+        log: new.log,
+        control,
+        tls: tls.map(|running| tls_in_effect(running, new.tls)),
+        certs: certs.map(|running| certs_in_effect(running, new.certs)),
+        purges,
+        startup,
+    }
+}
+
+fn tls_in_effect(running: Tls, new: Option<Tls>) -> Tls {
+    match new {
+        Some(new) => Tls {
+            listen: running.listen,
+            ..new
+        },
+        None => running,
+    }
+}
+
+fn certs_in_effect(running: Certs, new: Option<Certs>) -> Certs {
+    match new {
+        Some(new) => Certs {
+            directory: running.directory,
+            authority: running.authority,
+            http_listen: running.http_listen,
+            ..new
+        },
+        None => running,
+    }
+}
+
 /// Adds the paths below `path` at which the values differ.
 fn collect_differences(path: String, old: &Value, new: &Value, paths: &mut BTreeSet<String>) {
     match (old, new) {
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -11,7 +11,7 @@
 mod types;
 
 pub use check::{read, Fault};
-pub use diff::{changes, Changes};
+pub use diff::{changes, in_effect, Changes};
 pub use types::*;
 
 /// Returns the JSON Schema of the settings file, as printed by `cranesill schema`.
--- a/daemon/src/tests.rs
+++ b/daemon/src/tests.rs
@@ -99,3 +99,37 @@
     assert_eq!(changes.applied, ["log.level", "tls.handshakes_most"]);
     assert_eq!(changes.needs_restart, ["certs", "control.path"]);
 }
+
+/// A change that needs a restart must be named by every reload until then, whatever its section.
+#[test]
+fn settings_in_effect_differ_from_the_file_in_all_that_needs_a_restart() {
+    let parse = |text: &str| serde_json::from_str::<Daemon>(text).unwrap();
+    let running = parse(
+        r#"{"control": {"path": "/a"}, "tls": {"listen": "127.0.0.1:1"}, "certs": {"directory": "/a"},
+            "purges": {"file": "/a"}, "startup": {"snapshots": "/a"}}"#,
+    );
+    let edited = parse(
+        r#"{"control": {"path": "/b"}, "tls": {"listen": "127.0.0.1:2", "core_percent": 7}, "certs": {"directory": "/b",
+            "renew_percent": 7}, "purges": {"file": "/b"}, "startup": {"snapshots": "/b"}, "log": {"level": "debug"}}"#,
+    );
+    let paths = [
+        "certs.directory",
+        "control.path",
+        "purges.file",
+        "startup.snapshots",
+        "tls.listen",
+    ];
+    let sections = ["certs", "control", "purges", "startup", "tls"];
+    let empty = Daemon::default();
+    for (running, new, expected) in [
+        (&running, &edited, paths),
+        (&running, &empty, sections),
+        (&empty, &running, sections),
+    ] {
+        assert_eq!(changes(running, new).needs_restart, expected);
+        let kept = in_effect(running.clone(), new.clone());
+        let again = changes(&kept, new);
+        assert_eq!(again.needs_restart, expected);
+        assert_eq!(again.applied, Vec::<String>::new());
+    }
+}
--- a/front/src/server/event_loop/reload.rs
+++ b/front/src/server/event_loop/reload.rs
@@ -3,7 +3,7 @@
 use super::Server;
 use crate::server::config::Config;
 use cranesill::api::Timestamp;
-use cranesill_daemon::{changes, Certs, Daemon, Tls};
+use cranesill_daemon::{changes, in_effect};
 
 impl Server {
     /// Reloads configuration and settings. An invalid file changes nothing. Of the configuration only the address of the list service
@@ -53,30 +53,7 @@
             paths = changes.applied.join(" "),
             "settings reloaded, changes taken over"
         );
-        let running = std::mem::replace(&mut self.settings, new);
-        if !changes.needs_restart.is_empty() {
-            keep_until_restart(&mut self.settings, running);
-        }
+        let running = std::mem::take(&mut self.settings);
+        self.settings = in_effect(running, new);
     }
 }
-
-/// Restores the running values of settings that require a restart, so that the next reload is compared with them.
-fn keep_until_restart(settings: &mut Daemon, running: Daemon) {
-    settings.control = running.control;
-    settings.tls = match (settings.tls.take(), running.tls) {
-        (Some(new), Some(running)) => Some(Tls {
-            listen: running.listen,
-            ..new
-        }),
-        (_, running) => running,
-    };
-    settings.certs = match (settings.certs.take(), running.certs) {
-        (Some(new), Some(running)) => Some(Certs {
-            directory: running.directory,
-            authority: running.authority,
-            http_listen: running.http_listen,
-            ..new
-        }),
-        (_, running) => running,
-    };
-}
