Add soak runs with signals in series, graceful shutdowns under load and crowds

Cause: each kind of fault had tests of its own; signals in series, clients that go on until the kill and crowds were not played together with other faults.

--- a/Makefile
+++ b/Makefile
@@ -73,6 +73,12 @@
 rig-seeds:
 	CRANESILL_SEEDS=$$(seq -s, 1 40) cargo test --locked -p cranesill-front --test fleet_faults random_faults
 
+# Soak runs with seeds 1 to SEEDS; the tests run the first four.
+SEEDS ?= 50
+.PHONY: soak
+soak:
+	CRANESILL_SOAK_SEEDS=$$(seq -s, 1 $(SEEDS)) cargo test --release --locked -p cranesill-front --test soak
+
 .PHONY: emulate
 emulate:
 	cargo run --release --locked -p cranesill-emulator -- cold-start --room 2000 --out docs/design/cold-start
--- a/front/examples/measure-scale.rs
+++ b/front/examples/measure-scale.rs
@@ -5,8 +5,8 @@
 //! `measure-scale [OBJECTS]`: number of objects that clients request, with equal probability. Exits with status 1 if a bound is
 //! exceeded.
 use cranesill_rig::{
-    Behavior, ClientLoad, Clients, Event, Fleet, History, ListService, ListedNode, Nodes,
-    Observation, ServiceMode, State,
+    Behavior, ClientLoad, Clients, Event, Fleet, FrontAccess, History, ListService, ListedNode,
+    Nodes, Observation, ServiceMode, State,
 };
 use serde_json::{json, Value};
 use std::path::PathBuf;
@@ -155,7 +155,7 @@
             pause: CLIENT_PAUSE,
             timeout: Duration::from_millis(2_500),
         };
-        let addresses = Arc::new(Mutex::new(vec![Some(self.fleet.address(0))]));
+        let addresses = Arc::new(Mutex::new(vec![FrontAccess::Open(self.fleet.address(0))]));
         let process = format!(
             "/proc/{}",
             self.fleet.process_id(0).expect("the front is not running")
--- a/rig/src/fleet.rs
+++ b/rig/src/fleet.rs
@@ -9,6 +9,8 @@
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
+const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(2);
+
 /// Controls clock, disk and socket faults of one process through the file that the preloaded library maps (`shim/`).
 pub struct FaultInjector {
     words: std::fs::File,
@@ -240,6 +242,39 @@
         }
     }
 
+    /// Waits until a process exits by itself, and kills it after `timeout`. Returns its exit code; `None` if a signal ended it.
+    pub fn wait_exit(&mut self, n: usize, timeout: Duration) -> Option<i32> {
+        let deadline = Instant::now() + timeout;
+        let mut child = self.processes[n].take()?;
+        loop {
+            if let Some(status) = child.try_wait().expect("wait for a child process") {
+                return status.code();
+            }
+            if Instant::now() >= deadline {
+                child
+                    .kill()
+                    .and_then(|()| child.wait().map(drop))
+                    .expect("kill and wait for a child process");
+                return None;
+            }
+            std::thread::sleep(EXIT_POLL_INTERVAL);
+        }
+    }
+
+    /// Replaces the configuration of a process, which it reads at its next start or reload.
+    pub fn write_config(&self, n: usize, text: &str) {
+        let file = self.config_file(n);
+        let new = file.with_extension("new");
+        std::fs::write(&new, text)
+            .and_then(|()| std::fs::rename(&new, &file))
+            .expect("replace the configuration");
+    }
+
+    /// Current configuration of a process.
+    pub fn config_text(&self, n: usize) -> String {
+        std::fs::read_to_string(self.config_file(n)).expect("read the configuration")
+    }
+
     /// Restarts the given processes with their configuration, unless they are running.
     pub fn restart(&mut self, numbers: impl IntoIterator<Item = usize>) {
         for n in numbers {
--- a/rig/src/history.rs
+++ b/rig/src/history.rs
@@ -17,6 +17,10 @@
     EventSent(usize, u64),
     /// A front was killed; it keeps nothing but its configuration and its files.
     Killed(usize),
+    /// A front received SIGTERM. Its clients go on using their open connections.
+    Terminated(usize),
+    /// A front that had received SIGTERM exited by itself.
+    Exited(usize),
     /// A front was stopped with SIGSTOP.
     Stopped(usize),
     /// A stopped front was continued, or a killed one was restarted.
--- a/rig/src/invariants/tests.rs
+++ b/rig/src/invariants/tests.rs
@@ -300,3 +300,46 @@
         (vec![], vec!["drain"])
     );
 }
+
+/// A shutdown with one request: when it was sent, what a node saw of it, and when the client's connection ended.
+fn shutdown_with_request(
+    sent_ms: u64,
+    attempted_ms: Option<u64>,
+    ended_ms: u64,
+) -> Vec<&'static str> {
+    let mut script = vec![
+        (0, Observation::Terminated(0)),
+        (sent_ms, REQUEST),
+        (ended_ms, Observation::Exited(0)),
+        (ended_ms, Observation::ClientUnanswered(0, 1)),
+        (4_000, Observation::ModeChanged),
+    ];
+    script.extend(attempted_ms.map(|at| (at, attempt(7, 1, 0))));
+    script.sort_by_key(|(at, _)| *at);
+    violated_rules(&script)
+}
+
+#[test]
+fn only_requests_that_cross_a_shutdown_unread_may_stay_unanswered() {
+    assert_eq!(shutdown_with_request(700, None, 740), [""; 0]);
+    // Within the time for which service is guaranteed.
+    assert_eq!(shutdown_with_request(500, None, 540), ["response"]);
+    // The connection stayed open for long, so the request was read.
+    assert_eq!(shutdown_with_request(700, None, 1_700), ["response"]);
+    // Forwarded before or after the end of the connection.
+    let forwarded = shutdown_with_request(700, Some(710), 740);
+    assert!(forwarded.contains(&"response"), "{forwarded:?}");
+    let forwarded = shutdown_with_request(700, Some(760), 740);
+    assert!(forwarded.contains(&"response"), "{forwarded:?}");
+}
+
+#[test]
+fn a_request_that_is_open_when_its_front_exits_is_not_excused() {
+    let script = [
+        (0, REQUEST),
+        (1, Observation::Terminated(0)),
+        (900, Observation::Exited(0)),
+        (900, Observation::ClientUnanswered(0, 1)),
+    ];
+    assert_eq!(violated_rules(&script), ["response"]);
+}
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -15,9 +15,10 @@
 mod list_event;
 mod list_service;
 mod nodes;
+mod soak;
 mod socket_faults;
 
-pub use clients::{ClientLoad, Clients};
+pub use clients::{ClientLoad, Clients, FrontAccess};
 pub use cluster::{ClusterSize, TestCluster};
 pub use faults::{Fault, Script};
 pub use fleet::{FaultInjector, Fleet};
@@ -27,6 +28,7 @@
 pub use list_event::{Event, ListedNode, State};
 pub use list_service::{ListService, ServiceMode};
 pub use nodes::{Behavior, Nodes};
+pub use soak::{Soak, SoakStep};
 pub use socket_faults::{SocketFaults, SystemCall};
 
 use std::time::Duration;
