Remove only the front's own control socket at its end

Operators saw cranesill ctl fail with "No such file or directory" although a front ran that had opened its control socket. Found by reading. Cause: a front that ended removed the path of its control socket, also if another process had put its own socket there. Evidence: two fronts with one settings file, the first one's socket file removed before the second started; after SIGTERM to the first ctl status exited with 1. Change: the socket file is identified by device and inode, and removed only if the path still names it.

--- a/front/src/server/drivers/control.rs
+++ b/front/src/server/drivers/control.rs
@@ -5,7 +5,7 @@
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, HashMap};
 use std::io::{self, Read, Write};
-use std::os::unix::fs::{FileTypeExt, PermissionsExt};
+use std::os::unix::fs::{FileTypeExt, MetadataExt, PermissionsExt};
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::{Path, PathBuf};
 
@@ -40,6 +40,8 @@
     listener: BackoffListener<UnixListener>,
     listener_key: usize,
     path: PathBuf,
+    /// Identifies the socket file, since another process may replace it.
+    file: Option<FileId>,
     operators: HashMap<usize, Operator>,
     /// Poller key of the operator, by the id of an unanswered command.
     waiting: BTreeMap<u64, usize>,
@@ -48,6 +50,24 @@
     sweep_at: Timestamp,
 }
 
+/// Device and inode of a file.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct FileId {
+    device: u64,
+    inode: u64,
+}
+
+impl FileId {
+    /// Identifies the file at a path, which may be a link; `None` if there is none or it cannot be read.
+    fn at(path: &Path) -> Option<Self> {
+        let metadata = std::fs::symlink_metadata(path).ok()?;
+        Some(FileId {
+            device: metadata.dev(),
+            inode: metadata.ino(),
+        })
+    }
+}
+
 /// Failure to open the control socket.
 #[derive(Debug, thiserror::Error)]
 pub enum SocketError {
@@ -133,6 +153,7 @@
             listener: BackoffListener::new(listener),
             listener_key,
             path: path.to_path_buf(),
+            file: FileId::at(path),
             operators: HashMap::new(),
             waiting: BTreeMap::new(),
             last_id: 0,
@@ -357,8 +378,8 @@
 
 impl Drop for Control {
     fn drop(&mut self) {
-        let is_listening = self.listener.get().local_addr().is_ok();
-        if is_listening {
+        let is_own = self.file.is_some() && FileId::at(&self.path) == self.file;
+        if is_own {
             let _ = std::fs::remove_file(&self.path);
         }
     }
--- a/front/src/transport/backoff_listener.rs
+++ b/front/src/transport/backoff_listener.rs
@@ -51,11 +51,6 @@
         }
     }
 
-    /// Returns the listening socket.
-    pub fn get(&self) -> &L {
-        &self.listener
-    }
-
     /// Accepts a connection. Returns `None` if none is pending or `accept` failed, in which case the listener pauses.
     pub fn accept(&mut self, now: Timestamp) -> Option<L::Connection> {
         for _ in 0..MAX_FAILURES {
--- a/front/tests/operations.rs
+++ b/front/tests/operations.rs
@@ -408,3 +408,35 @@
         );
     }
 }
+
+/// A process that ends must leave alone the control socket of a process that has replaced it.
+#[test]
+fn control_socket_of_a_later_process_stays_when_the_earlier_one_exits() {
+    let folder = tempfile::tempdir().unwrap();
+    let socket = folder.path().join("control");
+    let settings = folder.path().join("settings.json");
+    let text = serde_json::json!({"control": {"path": &socket}}).to_string();
+    std::fs::write(&settings, text).unwrap();
+    let start = || {
+        let front = TestFront::with(|_| {}, Some(&settings));
+        wait_for_line(&front.log, "control socket open");
+        front
+    };
+    let mut earlier = start();
+    std::fs::remove_file(&socket).unwrap();
+    let mut later = start();
+    let exit = |front: &mut TestFront| {
+        front.signal("-TERM");
+        assert_eq!(front.child.wait().unwrap().code(), Some(0));
+    };
+    exit(&mut earlier);
+    let status = std::process::Command::new(binary())
+        .args(["ctl", "status", "--socket"])
+        .arg(&socket)
+        .output()
+        .unwrap();
+    assert_eq!(status.status.code(), Some(0), "{status:?}");
+    // Its own socket is removed.
+    exit(&mut later);
+    assert!(!socket.exists());
+}
