Keep purges by pattern that come while patterns are compiled

Callers saw stale copies after a purge by pattern that had been in effect. Found by reading. Cause: what a compilation contains was told by the greatest purge number in it. A purge that is not in the log has no number and counts as the greatest, so that everything that came meanwhile was removed as compiled. Evidence: patterns_added_during_a_compilation_stay_in_effect fails on the code as it was (floors 0 and 100 instead of 200 and 300). Change: each pattern carries the purge that it was compiled with; install removes those whose latest purge is that one. Result: the test passes for patterns with and without numbers, new and repeated; all tests of purges pass.

--- a/purges/src/matching/purge_matcher.rs
+++ b/purges/src/matching/purge_matcher.rs
@@ -18,6 +18,15 @@
     text: Box<str>,
     matcher: GlobMatcher,
     latest: LatestPurge,
+    /// Its latest purge when the running compilation was started; `None` if it is not part of one.
+    compiling: Option<LatestPurge>,
+}
+
+impl Pattern {
+    /// Whether the running compilation contains the latest purge of this pattern.
+    fn is_compiling(&self) -> bool {
+        self.compiling == Some(self.latest)
+    }
 }
 
 /// The attributes of a request that purges are matched against.
@@ -58,8 +67,8 @@
     pub(super) uncompiled: Vec<Pattern>,
     /// The latest purge of everything.
     all: LatestPurge,
-    /// While patterns are being compiled, the greatest purge number among the new ones.
-    compiling: Option<PurgeNumber>,
+    /// Whether patterns are being compiled.
+    is_compiling: bool,
 }
 
 /// Sets the latest purge of a key, unless a later one is known.
@@ -113,6 +122,7 @@
                 text: text.into(),
                 matcher: parsed.glob.compile_matcher(),
                 latest,
+                compiling: None,
             }),
         }
     }
@@ -131,17 +141,17 @@
     /// [`compile_patterns`](super::compile_patterns) on a worker thread, and passes the result to
     /// [`PurgeMatcher::install`].
     pub fn take_compile_job(&mut self) -> Option<CompileJob> {
-        if self.uncompiled.len() < MAX_UNCOMPILED_PATTERNS || self.compiling.is_some() {
+        if self.uncompiled.len() < MAX_UNCOMPILED_PATTERNS || self.is_compiling {
             return None;
         }
-        let numbers = self.uncompiled.iter().map(|pattern| pattern.latest.number);
-        self.compiling = numbers.max();
+        self.is_compiling = true;
         let mut latest_purges: HashMap<Box<str>, LatestPurge> = HashMap::new();
         let compiled = self.compiled.iter().flat_map(PatternSet::patterns);
         for (text, latest) in compiled {
             update_latest(&mut latest_purges, text.clone(), *latest);
         }
-        for pattern in &self.uncompiled {
+        for pattern in &mut self.uncompiled {
+            pattern.compiling = Some(pattern.latest);
             update_latest(&mut latest_purges, pattern.text.clone(), pattern.latest);
         }
         let mut job: CompileJob = latest_purges.into_iter().collect();
@@ -151,12 +161,12 @@
 
     /// Installs compiled patterns. If the compilation failed, the new patterns match everything from now on.
     pub fn install(&mut self, compiled: Result<PatternSet, CompileError>) {
-        let compiled_up_to = self.compiling.take().unwrap_or(0);
+        self.is_compiling = false;
         match compiled {
             Ok(set) => {
                 self.compiled = Some(set);
-                self.uncompiled
-                    .retain(|pattern| pattern.latest.number > compiled_up_to);
+                // Patterns that were added or purged again since the start of the compilation are not part of it.
+                self.uncompiled.retain(|pattern| !pattern.is_compiling());
             }
             Err(_) => {
                 let latest = self.uncompiled.iter().map(|pattern| pattern.latest).max();
--- a/purges/src/matching/tests.rs
+++ b/purges/src/matching/tests.rs
@@ -182,3 +182,35 @@
         MAX_PATTERNS as u64 + 1
     );
 }
+
+fn pattern_purge(number: PurgeNumber, at_ms: UnixMillis, text: &str) -> Purge {
+    purge(number, at_ms, PurgeTarget::Pattern(text.into()))
+}
+
+/// Adds patterns until a compilation is due.
+fn matcher_with_compile_job(first_number: PurgeNumber) -> (PurgeMatcher, CompileJob) {
+    let mut matcher = PurgeMatcher::default();
+    for n in 0..MAX_UNCOMPILED_PATTERNS as u64 {
+        let number = first_number * (n + 1);
+        matcher.add(&pattern_purge(number, 100, &format!("old-{n}/*")), 0);
+    }
+    let job = matcher.take_compile_job().unwrap();
+    (matcher, job)
+}
+
+#[test]
+fn patterns_added_during_a_compilation_stay_in_effect() {
+    // Purges that are not in the log have no number.
+    for first_number in [0, 1] {
+        for added_number in [0, 1, 1_000] {
+            let (mut matcher, job) = matcher_with_compile_job(first_number);
+            matcher.add(&pattern_purge(added_number, 200, "new/*"), 0);
+            matcher.add(&pattern_purge(added_number, 300, "old-3/*"), 0);
+            matcher.install(compile_patterns(job));
+            let floor = |key| matcher.floor(0, &request(1, 0, Some(&[]), key));
+            let floors = ["new/1/0", "old-3/1/0", "old-4/1/0"].map(floor);
+            assert_eq!(floors, [200, 300, 100], "{first_number} {added_number}");
+            assert_eq!(matcher.uncompiled.len(), 2);
+        }
+    }
+}
