Count a purge by pattern that is repeated once

Found by reading. Cause: the number of patterns was the sum of compiled and uncompiled ones, and the limit was checked before a known pattern was looked for. Change: uncompiled patterns that are compiled too are not counted; a known pattern needs no capacity. The compiled set is sorted by text, so that this is one binary search.

--- a/purges/src/matching/pattern.rs
+++ b/purges/src/matching/pattern.rs
@@ -79,6 +79,7 @@
     globs: GlobSet,
     /// The latest purge of each pattern, in the order of the globs.
     pub(super) latest_purges: Vec<LatestPurge>,
+    /// The patterns, sorted.
     texts: Vec<Box<str>>,
 }
 
@@ -88,6 +89,13 @@
         self.texts.iter().zip(&self.latest_purges)
     }
 
+    /// Whether the set contains this pattern.
+    pub(super) fn contains(&self, text: &str) -> bool {
+        self.texts
+            .binary_search_by(|known| (**known).cmp(text))
+            .is_ok()
+    }
+
     /// Iterates over the latest purges of the patterns that match a key.
     pub(super) fn matches<'a>(&'a self, key: &str) -> impl Iterator<Item = &'a LatestPurge> {
         let matched = self.globs.matches(key).into_iter();
@@ -96,7 +104,8 @@
 }
 
 /// Compiles patterns. This takes milliseconds for a thousand patterns, so it must not run on the event loop.
-pub fn compile_patterns(job: CompileJob) -> Result<PatternSet, CompileError> {
+pub fn compile_patterns(mut job: CompileJob) -> Result<PatternSet, CompileError> {
+    job.sort();
     let mut builder = GlobSetBuilder::new();
     for (text, _) in &job {
         builder.add(parse_pattern(text)?.glob);
--- a/purges/src/matching/purge_matcher.rs
+++ b/purges/src/matching/purge_matcher.rs
@@ -106,25 +106,27 @@
     }
 
     fn add_pattern(&mut self, text: &str, latest: LatestPurge) {
-        let parsed = match parse_pattern(text) {
-            Ok(parsed) if !parsed.matches_everything && self.pattern_count() < MAX_PATTERNS => {
-                parsed
-            }
-            _ => {
-                self.all = latest.max(self.all);
-                return;
-            }
-        };
         let mut uncompiled = self.uncompiled.iter_mut();
-        match uncompiled.find(|pattern| &*pattern.text == text) {
-            Some(known) => known.latest = latest.max(known.latest),
-            None => self.uncompiled.push(Pattern {
-                text: text.into(),
-                matcher: parsed.glob.compile_matcher(),
-                latest,
-                compiling: None,
-            }),
+        if let Some(known) = uncompiled.find(|pattern| &*pattern.text == text) {
+            known.latest = latest.max(known.latest);
+            return;
         }
+        let has_capacity = self.is_compiled(text) || self.pattern_count() < MAX_PATTERNS;
+        match parse_pattern(text) {
+            Ok(parsed) if !parsed.matches_everything && has_capacity => {
+                self.uncompiled.push(Pattern {
+                    text: text.into(),
+                    matcher: parsed.glob.compile_matcher(),
+                    latest,
+                    compiling: None,
+                });
+            }
+            _ => self.all = latest.max(self.all),
+        }
+    }
+
+    fn is_compiled(&self, text: &str) -> bool {
+        self.compiled.as_ref().is_some_and(|set| set.contains(text))
     }
 
     /// Treats every object as purged at this time, for a front whose purge history is incomplete. Cache nodes never confirm
@@ -154,9 +156,7 @@
             pattern.compiling = Some(pattern.latest);
             update_latest(&mut latest_purges, pattern.text.clone(), pattern.latest);
         }
-        let mut job: CompileJob = latest_purges.into_iter().collect();
-        job.sort();
-        Some(job)
+        Some(latest_purges.into_iter().collect())
     }
 
     /// Installs compiled patterns. If the compilation failed, the new patterns match everything from now on.
@@ -227,7 +227,10 @@
             .compiled
             .as_ref()
             .map_or(0, |set| set.latest_purges.len());
-        self.uncompiled.len() + compiled
+        // A compiled pattern that is purged again is also among the uncompiled ones until the next compilation.
+        let uncompiled = self.uncompiled.iter();
+        let new = uncompiled.filter(|pattern| !self.is_compiled(&pattern.text));
+        new.count() + compiled
     }
 
     /// Returns the numbers of live purges by kind of target.
--- a/purges/src/matching/tests.rs
+++ b/purges/src/matching/tests.rs
@@ -214,3 +214,17 @@
         }
     }
 }
+
+#[test]
+fn a_repeated_pattern_counts_once() {
+    let (mut matcher, job) = matcher_with_compile_job(1);
+    let patterns = matcher.live_purges().patterns;
+    matcher.install(compile_patterns(job));
+    matcher.add(&pattern_purge(1_000, 200, "old-3/*"), 0);
+    assert_eq!(matcher.live_purges().patterns, patterns);
+    // Of the compiled patterns none is live any more.
+    matcher.expire(150);
+    assert_eq!(matcher.live_purges().patterns, 1);
+    matcher.expire(250);
+    assert_eq!(matcher.live_purges().patterns, 0);
+}
