Leave files of a newer version in the certificates' folder as they are

Operators lost the account, the planner's state or an unfinished order of a later release when they had gone back to this one: it logged that the file cannot be used and replaced it with its next write. Found by reading. Cause: load checked the version of a file, save did not. Evidence: files_of_a_newer_version_are_left_untouched fails on the code as it was; account.json was replaced. Change: a write fails if the file exists in a newer format, and is logged and tried again as any failed write; an order of a newer format is not removed.

--- a/certs/src/disk.rs
+++ b/certs/src/disk.rs
@@ -24,7 +24,7 @@
 const MAX_FILE_BYTES: u64 = 1 << 20;
 /// Files of the folder beyond this number are ignored.
 const MAX_FILES: usize = 50_000;
-/// Version of the file format. Files of a newer version are not loaded.
+/// Version of the file format. Files of a newer version are neither loaded nor replaced.
 const VERSION: u32 = 1;
 const ACCOUNT: &str = "account.json";
 const STATE: &str = "state.json";
@@ -246,14 +246,26 @@
     Identity::from_pem(std::str::from_utf8(&bytes).ok()?).ok()
 }
 
+/// Returns the format version of a file.
+fn version(bytes: &[u8]) -> Result<u32, serde_json::Error> {
+    serde_json::from_slice::<Versioned<serde_json::Value>>(bytes).map(|file| file.version)
+}
+
+/// Whether the folder has a file of this name in a newer format. Such a file belongs to a later release, which is used again after
+/// this one.
+fn has_newer_version(files: &mut dyn Files, name: &str) -> bool {
+    let is_versioned = !name.ends_with(".pem");
+    let newer = |bytes: Vec<u8>| version(&bytes).is_ok_and(|version| version > VERSION);
+    is_versioned && files.read(name).is_ok_and(newer)
+}
+
 /// Parses a file by its name and adds it to `loaded`. Files with other names are ignored.
 fn load_file(name: &str, bytes: &[u8], loaded: &mut Loaded) -> Result<(), String> {
     fn read<T: for<'a> Deserialize<'a>>(bytes: &[u8]) -> Result<T, String> {
-        let version = serde_json::from_slice::<Versioned<serde_json::Value>>(bytes);
         // The message of serde may quote the file, which contains a key, so only the position is reported.
         let position =
             |e: serde_json::Error| format!("damaged at line {} column {}", e.line(), e.column());
-        if version.map_err(position)?.version > VERSION {
+        if version(bytes).map_err(position)? > VERSION {
             return Err("written by a newer version of this program; not loaded".into());
         }
         serde_json::from_slice::<Versioned<T>>(bytes)
@@ -314,8 +326,13 @@
     }
 }
 
-/// Atomically replaces a file.
+/// Atomically replaces a file, unless it has a newer format.
 fn write_file(files: &mut dyn Files, name: &str, bytes: &[u8]) -> Result<(), String> {
+    if has_newer_version(files, name) {
+        return Err(format!(
+            "{name}: written by a newer version of this program; not overwritten"
+        ));
+    }
     let temporary = format!(".{name}.{}.tmp", files.writer_id());
     let step = |step: &'static str| move |e: io::Error| format!("{step}: {e}");
     let written = files.write(&temporary, bytes).map_err(step("write"));
@@ -330,7 +347,11 @@
     done.map_err(|e| format!("{name}: {e}"))
 }
 
+/// Removes a file, unless it has a newer format.
 fn remove_file(files: &mut dyn Files, name: &str) -> Result<(), String> {
+    if has_newer_version(files, name) {
+        return Ok(());
+    }
     let done = files.remove(name).and_then(|()| files.sync_folder());
     done.map_err(|e| format!("{name}: remove: {e}"))
 }
--- a/certs/tests/client.rs
+++ b/certs/tests/client.rs
@@ -562,6 +562,35 @@
     );
 }
 
+/// After a downgrade the files of the newer version must be there for the next upgrade.
+#[test]
+fn files_of_a_newer_version_are_left_untouched() {
+    let (ca, disk) = (authority(), disk());
+    let newer = br#"{"version": 99, "content": "of a later release"}"#;
+    let names = ["account.json", "state.json", "a.example.order"];
+    for name in names {
+        disk.borrow_mut().insert_file(name, newer);
+    }
+    let mut sim = Simulation::new(&ca, Some(&disk), &[&["a.example"]]);
+    sim.run(DAY);
+    assert!(sim.has_valid("a.example"), "{}", sim.recent_log());
+    for name in names {
+        let content = disk.borrow().get(name);
+        assert!(
+            content.as_deref() == Some(&newer[..]),
+            "{name} was replaced"
+        );
+    }
+    let not_saved = |entry: &str| entry.contains("not overwritten");
+    let errors = sim.log.iter().filter(|(_, entry)| not_saved(&entry.text));
+    let errors: Vec<_> = errors.map(|(_, entry)| entry.text.clone()).collect();
+    let named = |name: &str| errors.iter().filter(|text| text.contains(name)).count();
+    assert!(
+        named("state.json") <= 1 && named("account.json") >= 1,
+        "{errors:#?}"
+    );
+}
+
 #[test]
 fn failed_writes_are_retried_until_the_disk_recovers_without_another_order() {
     let (ca, disk) = (authority(), disk());
