Discard a new account key only if the authority says that it is unused

Operators saw no renewal after roll-key had ended unconfirmed: each order failed with "the signature does not verify". Found by reading. Cause: the check which of two keys is in use took every status from 300 to 499 for the old one, and removed the new key for good. Evidence: a_failed_check_of_the_new_account_key_keeps_both_keys fails on the code as it was, at its first status (302). Change: only the problem accountDoesNotExist discards the key. Any other answer but a success is a failed setup, and the check is made again after its pause. The test authority can answer that check with a status; the simulation can lose responses.

--- a/certs/src/client/requests.rs
+++ b/certs/src/client/requests.rs
@@ -106,9 +106,13 @@
                 let step = *step;
                 match response {
                     Err(error) => self.request_failed(clocks, task, &error, out),
-                    Ok(response) if step == Setup::CheckNextKey && response.status < 500 => {
+                    Ok(response)
+                        if step == Setup::CheckNextKey
+                            && key_status(&response) != KeyStatus::Unknown =>
+                    {
                         self.tasks.remove(&task);
-                        self.handle_next_key_check(response.status < 300, out);
+                        let accepted = key_status(&response) == KeyStatus::InUse;
+                        self.handle_next_key_check(accepted, out);
                     }
                     Ok(response) if response.status >= 300 => {
                         let problem = wire::problem(&response.body);
@@ -302,3 +306,23 @@
         ));
     }
 }
+
+/// What a response to the request for the existing account of a key says about the key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum KeyStatus {
+    /// An account has the key.
+    InUse,
+    /// No account has the key.
+    NotInUse,
+    /// The response does not tell. The check has to be repeated, since a discarded key that is in use makes the account unusable.
+    Unknown,
+}
+
+fn key_status(response: &Response) -> KeyStatus {
+    let no_account = || wire::problem(&response.body).acme_type() == "accountDoesNotExist";
+    match response.status {
+        200..=299 => KeyStatus::InUse,
+        400..=499 if no_account() => KeyStatus::NotInUse,
+        _ => KeyStatus::Unknown,
+    }
+}
--- a/certs/tests/client.rs
+++ b/certs/tests/client.rs
@@ -756,6 +756,33 @@
     }
 }
 
+/// Only the answer that no account has the new key shows that the authority still uses the old one.
+#[test]
+fn a_failed_check_of_the_new_account_key_keeps_both_keys() {
+    for status in [302, 401, 404, 429] {
+        let (ca, disk) = (authority(), disk());
+        let mut sim = Simulation::new(&ca, Some(&disk), &[&["a.example"]]);
+        sim.run(120);
+        // The authority changes the key, and its response is lost.
+        sim.loses_responses = true;
+        sim.handle(Event::RollKey(3));
+        sim.run(60);
+        assert!(sim.replies[0].is_err(), "{:?}", sim.replies);
+        sim.loses_responses = false;
+        ca.borrow_mut().faults.account_check_status = Some(status);
+        // The renewal is due within this time.
+        sim.run(61 * DAY);
+        ca.borrow_mut().faults.account_check_status = None;
+        sim.run(2 * DAY);
+        assert!(
+            sim.has_valid("a.example") && ca.borrow().orders() == 2 && ca.borrow().accounts() == 1,
+            "status {status}, {} accounts: {}",
+            ca.borrow().accounts(),
+            sim.recent_log()
+        );
+    }
+}
+
 #[test]
 fn an_imported_certificate_is_served_at_once_and_survives_a_restart() {
     let (ca, disk) = (authority(), disk());
--- a/certs/tests/common/mod.rs
+++ b/certs/tests/common/mod.rs
@@ -169,6 +169,8 @@
     /// Number of actions carried out. At `kill_at` the process stops.
     pub actions: usize,
     pub kill_at: Option<usize>,
+    /// Whether the authority handles requests and its responses are lost.
+    pub loses_responses: bool,
     names: Vec<Vec<String>>,
     settings: Settings,
     identity: (String, Vec<String>),
@@ -238,6 +240,7 @@
             event_count: 0,
             actions: 0,
             kill_at: None,
+            loses_responses: false,
             names,
             settings,
             identity: (me.into(), fronts.iter().map(|f| f.to_string()).collect()),
@@ -414,6 +417,9 @@
                 },
             );
         }
+        if self.loses_responses {
+            return Err("connection reset".into());
+        }
         let field = |name: &str| {
             response
                 .fields
--- a/standins/src/acme/authority.rs
+++ b/standins/src/acme/authority.rs
@@ -78,6 +78,8 @@
     pub endless: bool,
     /// Bodies of responses are not valid JSON.
     pub malformed: bool,
+    /// Status of responses to a request for the existing account of a key, instead of the account.
+    pub account_check_status: Option<u16>,
     /// Base URL that replaces the authority's own in the URLs that it returns.
     pub elsewhere: Option<String>,
 }
@@ -251,6 +253,11 @@
             .collect()
     }
 
+    /// Number of accounts created.
+    pub fn accounts(&self) -> usize {
+        self.accounts.len()
+    }
+
     /// Number of orders created.
     pub fn orders(&self) -> usize {
         self.orders.len()
@@ -462,10 +469,14 @@
         let key_thumbprint =
             thumbprint(&jwk).ok_or_else(|| problem(400, "badPublicKey", "a key that is none"))?;
         let same = |(_, a): &(&u64, &Account)| thumbprint(&a.jwk).as_ref() == Some(&key_thumbprint);
+        let only_existing = payload["onlyReturnExisting"] == json!(true);
+        if let Some(status) = self.faults.account_check_status.filter(|_| only_existing) {
+            return Err(problem(status, "unauthorized", "not now"));
+        }
         if let Some((number, _)) = self.accounts.iter().find(same) {
             return Ok(self.account_response(200, *number));
         }
-        if payload["onlyReturnExisting"] == json!(true) {
+        if only_existing {
             return Err(problem(
                 400,
                 "accountDoesNotExist",
