Bound name resolution for requests to the certificate authority

Cause: exchange called the resolver of the system, which blocks and takes no deadline, so that a name server that does not answer held a worker thread beyond the deadline of the request. Found by reading; the system's resolver was not made to block here.

--- a/certs/src/exchange.rs
+++ b/certs/src/exchange.rs
@@ -2,12 +2,13 @@
 use crate::http::{encode_request, Reader, Response};
 use crate::jose::AccountKey;
 use crate::messages::{KeyRequest, Request};
+use crate::name_lookup;
 use rustls::pki_types::pem::PemObject;
 use rustls::pki_types::{CertificateDer, ServerName};
 use rustls::sign::CertifiedKey;
 use rustls::{ClientConfig, ClientConnection, RootCertStore};
 use std::io::{self, Read, Write};
-use std::net::{TcpStream, ToSocketAddrs};
+use std::net::TcpStream;
 use std::path::Path;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -37,7 +38,7 @@
 }
 
 /// Sends a request and returns the response, whose body may have up to `max_body_bytes`. Fails with an error of one line.
-/// Connecting, writing and reading end at `deadline`; name resolution is not bounded by it.
+/// Name resolution, connecting, writing and reading end at `deadline`.
 pub fn exchange(
     config: &Arc<ClientConfig>,
     request: &Request,
@@ -51,11 +52,9 @@
         format!("request to {host}:{port} failed: {step}: {e}")
     };
     let name = ServerName::try_from(host.to_string()).map_err(|e| error("name", &e))?;
-    let addresses = (host, port)
-        .to_socket_addrs()
-        .map_err(|e| error("look-up", &e))?;
+    let addresses = name_lookup::resolve(host, port, deadline).map_err(|e| error("look-up", &e))?;
     let mut socket = Err(error("look-up", &"the name has no address"));
-    for address in addresses.take(MAX_ADDRESSES) {
+    for address in addresses.into_iter().take(MAX_ADDRESSES) {
         socket = remaining(deadline)
             .and_then(|left| TcpStream::connect_timeout(&address, left))
             .map_err(|e| error("connect", &e));
--- a/certs/src/lib.rs
+++ b/certs/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod identity;
 pub mod jose;
 pub mod messages;
+mod name_lookup;
 pub mod order;
 mod pending_writes;
 pub mod planner;
