Send no attempt on a busy connection that its node has closed

Callers saw a write fail as one that may have run although its node had closed the connection before it was written. Found by looking for the fault that write_is_not_sent_on_a_connection_closed_by_the_node guards against in other places. Cause: an idle connection is read before an attempt is written on it; one with open attempts was taken as it was. It is chosen when an endpoint has all its connections and all are busy. Change: such a connection is peeked at, and gets no further attempts if the node has closed or reset it. It is not read: its open attempts would end before clients that disconnect in the same turn are handled.

--- a/front/src/server/upstream/placement.rs
+++ b/front/src/server/upstream/placement.rs
@@ -157,8 +157,9 @@
         }
     }
 
-    /// Chooses a connection and, if it is idle, reads from it first to detect that the endpoint has closed it, which the poller may
-    /// not have reported yet.
+    /// Chooses a connection that the endpoint has not closed, which the poller may not have reported yet. An idle one is read first. Of
+    /// one with open attempts the input is left for its own turn: attempts must not end before the clients that disconnect in this
+    /// turn are handled.
     fn choose_live(
         &mut self,
         now: Timestamp,
@@ -168,9 +169,13 @@
     ) -> Option<usize> {
         loop {
             let key = self.choose(endpoint, txn)?;
-            let connection = self.connections.get(&key);
-            if !connection.is_some_and(Connection::is_idle) {
-                return Some(key);
+            let connection = self.connections.get_mut(&key)?;
+            if !connection.is_idle() {
+                if !connection.established || !connection.stream.is_closed_by_peer() {
+                    return Some(key);
+                }
+                connection.retired = true;
+                continue;
             }
             if let Err(error) = self.read(now, key, ends) {
                 self.fail(key, &error.to_string(), ends);
--- a/front/src/server/upstream/tests.rs
+++ b/front/src/server/upstream/tests.rs
@@ -569,3 +569,44 @@
         "the total over connections is correct after the head was rewritten"
     );
 }
+
+/// A connection with open attempts that the endpoint has closed must not get a further one, even before the poller reports the close.
+#[test]
+fn an_attempt_avoids_a_busy_connection_that_the_endpoint_has_closed() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let (mut reactor, mut ends) = (Reactor::new().unwrap(), Vec::new());
+    let mut upstream = upstream(2, &listener);
+    let mut nodes = Vec::new();
+    let target = |n| Target {
+        attempt: attempt(n),
+        endpoint: ENDPOINT,
+        write_deadline: Timestamp::MAX,
+    };
+    for key in 1..=2 {
+        upstream.send(
+            0,
+            &reactor,
+            key,
+            target(key as u64),
+            &fetch(key as u64),
+            &mut ends,
+        );
+        nodes.push(listener.accept().unwrap().0);
+        while !upstream.connections[&key].established {
+            reactor.wait(0, Some(1_000_000)).unwrap();
+            upstream.ready(0, key, false, &mut ends);
+        }
+    }
+    assert_eq!((upstream.attempts_written, ends.len()), (2, 0));
+    // The command is read first, so that the close is no reset.
+    let mut closed = nodes.remove(0);
+    io::Read::read(&mut closed, &mut [0; 1_000]).unwrap();
+    drop(closed);
+    while !upstream.connections[&1].stream.is_closed_by_peer() {
+        std::thread::yield_now();
+    }
+    upstream.send(0, &reactor, 3, target(3), &fetch(3), &mut ends);
+    upstream.ready(0, 1, true, &mut ends);
+    let ended: Vec<_> = ends.iter().map(|(attempt, _)| *attempt).collect();
+    assert_eq!(ended, [attempt(1)], "{ends:?}");
+}
--- a/front/src/transport/stream.rs
+++ b/front/src/transport/stream.rs
@@ -148,6 +148,15 @@
         matches!(self.socket.peek(&mut [0; 1]), Ok(n) if n > 0)
     }
 
+    /// Whether the peer has closed or reset the connection and all input before that is read.
+    pub fn is_closed_by_peer(&self) -> bool {
+        let pending = [io::ErrorKind::WouldBlock, io::ErrorKind::Interrupted];
+        match self.socket.peek(&mut [0; 1]) {
+            Ok(n) => n == 0,
+            Err(e) => !pending.contains(&e.kind()),
+        }
+    }
+
     /// Returns the unconsumed input.
     pub fn input(&self) -> &[u8] {
         &self.input[self.consumed..]
