Review: sources of the cases move to review/standins

The check that product code names no deployment searches each source outside folders of tests, examples and stand-ins, and found the names of the classes in the cases.

--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,6 @@
 set -eu
 cd "$(dirname "$0")"
 mkdir -p target
-for case in [1-9]; do
-    rustc --edition 2021 -O -D warnings -o "target/case$case" "$case/case.rs"
+for case in 1 2 3; do
+    rustc --edition 2021 -O -D warnings -o "target/case$case" "standins/case$case.rs"
 done
--- a/review/1/case.rs
+++ b/review/standins/case1.rs
@@ -1,5 +1,5 @@
 //! The origin is out by hand while an object is purged that caches and parents still hold.
-#[path = "../lab/lab.rs"]
+#[path = "lab.rs"]
 mod lab;
 use lab::*;
 use std::collections::HashMap;
--- a/review/2/case.rs
+++ b/review/standins/case2.rs
@@ -1,5 +1,5 @@
 //! An operator empties a front while a client that reads at 1 MB a second still has answers to read.
-#[path = "../lab/lab.rs"]
+#[path = "lab.rs"]
 mod lab;
 use lab::*;
 use std::collections::BTreeMap;
--- a/review/3/case.rs
+++ b/review/standins/case3.rs
@@ -1,5 +1,5 @@
 //! Bad clients send messages that never end, each on a connection of its own, while usual clients ask.
-#[path = "../lab/lab.rs"]
+#[path = "lab.rs"]
 mod lab;
 use lab::*;
 use std::io::{Read, Write};
