Keep the age limit of a purge at parents while no origin is ready

Cause: pass_through_route named the origin as the source of a miss, and nothing while no origin was ready; fill_instructions makes no instructions without a source, and the maximum age is part of them. Change: a parent that is asked directly while no origin is ready is its own source: no fill, but the age limit, as for a cache that is checked without a fill. Only attempts at the origin, which made the copy, go without instructions, so that no route drops the limit.

--- a/src/policy/planning.rs
+++ b/src/policy/planning.rs
@@ -65,11 +65,13 @@
         }
     }
 
-    /// Route directly to a parent or the origin; a parent fills a miss from the origin.
+    /// Route directly to a parent or the origin. A parent fills a miss from the origin; while no origin is ready it is
+    /// asked for its own copy, within the same age limit.
     fn pass_through_route(&self, target: EndpointIndex) -> Route {
-        Route {
-            target,
-            source: self.origin().filter(|origin| *origin != target),
+        match self.origin() {
+            Some(origin) if origin == target => Route::direct(origin),
+            Some(origin) => Route::filled_from(target, origin),
+            None => Route::without_fill(target),
         }
     }
 
--- a/src/policy/request_state.rs
+++ b/src/policy/request_state.rs
@@ -50,20 +50,21 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Route {
     pub target: EndpointIndex,
-    /// Where a miss is filled from. The target itself: a miss is not filled. `None`: no fill instructions are sent.
+    /// Where a miss is filled from. The target itself: a miss is not filled. `None`: no fill instructions are sent, and
+    /// with them no age limit, so that only the origin, which holds no old copies, may be the target.
     pub source: Option<EndpointIndex>,
 }
 
 impl Route {
-    /// Route to an endpoint without fill instructions.
-    pub fn direct(target: EndpointIndex) -> Self {
+    /// Route to the origin, without fill instructions.
+    pub fn direct(origin: EndpointIndex) -> Self {
         Route {
-            target,
+            target: origin,
             source: None,
         }
     }
 
-    /// Route to a cache that fills a miss from `source`.
+    /// Route to a cache or a parent that fills a miss from `source`.
     pub fn filled_from(target: EndpointIndex, source: EndpointIndex) -> Self {
         Route {
             target,
@@ -71,7 +72,7 @@
         }
     }
 
-    /// Route to a cache that does not fill a miss.
+    /// Route to a cache or a parent that does not fill a miss.
     pub fn without_fill(target: EndpointIndex) -> Self {
         Route::filled_from(target, target)
     }
--- a/tests/common/checker.rs
+++ b/tests/common/checker.rs
@@ -6,7 +6,7 @@
 //! - Nothing is sent to endpoints that are cordoned, draining or removed.
 //! - During the propagation time of a purge, no copy from before it is accepted.
 //! - Endpoints in slow start are not overloaded.
-use super::{CACHE, MS, PARENT};
+use super::{CACHE, MS, ORIGIN, PARENT};
 use cranesill::api::*;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -269,11 +269,14 @@
             is_purged && now < purge.purged_at + self.settings.purge_propagation
         });
         let purged_at = purges.map(|purge| purge.purged_at).max();
-        if let (Some(purged_at), Some(fill), false) = (purged_at, fill, write) {
-            if fill.max_age == 0 || now - fill.max_age.min(now) < purged_at && now > purged_at {
+        // The origin holds no old copies; caches and parents do. Without fill instructions any copy is accepted.
+        let target_kind = self.endpoints.get(&target).map(|endpoint| endpoint.kind);
+        let max_age = fill.map_or(0, |fill| fill.max_age);
+        let may_hold_old_copies = fill.is_some() || target_kind != Some(ORIGIN);
+        if let Some(purged_at) = purged_at.filter(|_| may_hold_old_copies && !write) {
+            if max_age == 0 || now - max_age.min(now) < purged_at && now > purged_at {
                 self.violations.push(format!(
-                    "accepts a purged copy: {id:?} with a maximum age of {} us",
-                    fill.max_age
+                    "accepts a purged copy: {id:?} with a maximum age of {max_age} us"
                 ));
             }
         }
--- a/tests/invariants.rs
+++ b/tests/invariants.rs
@@ -248,6 +248,25 @@
     c.observe_action(t, &attempt(10, 20, 200 * MS));
     assert_violation(&c, "accepts a purged copy");
     let mut c = checker_with_request(0);
+    c.observe_event(
+        t,
+        &Event::Purged {
+            object: Some(ObjectId(5)),
+            group: 0,
+            age: 100 * MS,
+        },
+    );
+    c.observe_action(
+        t,
+        &Action::Send {
+            request: RequestId(1),
+            target: EndpointId(20),
+            timeout: 0,
+            fill: None,
+        },
+    );
+    assert_violation(&c, "accepts a purged copy");
+    let mut c = checker_with_request(0);
     c.observe_event(
         t,
         &Event::Endpoints(
