Ask a parent that cannot fill its miss only once for a request

Cause: without a ready origin the parent answers a miss at once, and plan_with_full_caches and plan_without_cache then planned the same route. Change: a miss of a parent that was asked directly sets parent_missed; without a ready origin such a request does not bypass the caches again. It waits for a cache, or is answered at once if none is usable. The retry could not succeed: nothing had changed at the parent. Related paths, by reading: misses of a cache check and of a parent asked for its cached copy by a cache already change the next plan. Tests of the package pass.

--- a/src/policy/outcomes.rs
+++ b/src/policy/outcomes.rs
@@ -1,6 +1,6 @@
 //! The end of an attempt: updates health and limits, and finishes or retries the request.
 use super::concurrency_limit::LoadSignal;
-use super::endpoint::EndpointIndex;
+use super::endpoint::{EndpointIndex, Role};
 use super::health::Failure;
 use super::load_feedback::FULL_LINK_UTILIZATION;
 use super::request_state::{
@@ -138,6 +138,7 @@
             }
             (Status::Miss, _, None) => {
                 pending.missed = true;
+                pending.parent_missed |= self.endpoints[target].role == Role::Parent;
                 Assessment::NO_FAULT
             }
             (_, FillNote::SourceRejected | FillNote::SourceLost, Some(source)) => {
--- a/src/policy/planning.rs
+++ b/src/policy/planning.rs
@@ -11,7 +11,7 @@
         }
         let source = self.source_for(pending);
         let Some(cache) = self.cache_for(pending) else {
-            return self.plan_without_cache(source);
+            return self.plan_without_cache(pending, source);
         };
         if !self.cache_has_capacity(cache) {
             return Ok(self.plan_with_full_caches(pending, source));
@@ -38,9 +38,13 @@
         Ok(Plan::Send(Route::filled_from(cache, origin)))
     }
 
-    /// No cache is usable: sends directly to the source if pass-through is allowed.
-    fn plan_without_cache(&self, source: Option<EndpointIndex>) -> Result<Plan, PlanError> {
-        let source = source.filter(|_| self.settings.pass_through);
+    /// No cache is usable: sends directly to the source if it may serve the request.
+    fn plan_without_cache(
+        &self,
+        pending: &PendingRequest,
+        source: Option<EndpointIndex>,
+    ) -> Result<Plan, PlanError> {
+        let source = source.filter(|_| self.may_pass_through(pending));
         let source = source.ok_or(PlanError::NoUsableCache)?;
         if !self.has_capacity(source) {
             return Ok(Plan::Wait(WaitTarget::Endpoint(source)));
@@ -48,8 +52,8 @@
         Ok(Plan::Send(self.pass_through_route(source)))
     }
 
-    /// No cache has capacity: sends directly to the source if pass-through is allowed and the source has capacity,
-    /// else waits for a cache.
+    /// No cache has capacity: sends directly to the source if it may serve the request and has capacity, else waits for
+    /// a cache.
     fn plan_with_full_caches(
         &self,
         pending: &PendingRequest,
@@ -57,7 +61,7 @@
     ) -> Plan {
         let available_source = source.filter(|source| {
             let wait = self.capacity_wait_target(*source, false, &pending.request);
-            self.settings.pass_through && wait.is_none()
+            self.may_pass_through(pending) && wait.is_none()
         });
         match available_source {
             Some(source) => Plan::Send(self.pass_through_route(source)),
@@ -65,6 +69,12 @@
         }
     }
 
+    /// Whether a request may bypass the caches. Without a ready origin no parent can fill a miss, so a request that a
+    /// parent had no copy for stays at the caches.
+    fn may_pass_through(&self, pending: &PendingRequest) -> bool {
+        self.settings.pass_through && (self.origin().is_some() || !pending.parent_missed)
+    }
+
     /// Route directly to a parent or the origin. A parent fills a miss from the origin; while no origin is ready it is
     /// asked for its own copy, within the same age limit.
     fn pass_through_route(&self, target: EndpointIndex) -> Route {
--- a/tests/purge_routes.rs
+++ b/tests/purge_routes.rs
@@ -179,3 +179,38 @@
     }
     assert_eq!(routes.len(), 6, "{routes:?}");
 }
+
+// Guards against a request that uses up its attempts, and is rejected, at a parent that cannot fill its miss.
+#[test]
+fn a_parent_that_has_no_copy_and_no_origin_is_asked_once() {
+    for caches_usable in [true, false] {
+        let mut harness = harness(CACHE, 0);
+        take_out(&mut harness, Outage::Cordoned, ORIGIN_ID, ORIGIN);
+        if !caches_usable {
+            take_out_caches(&mut harness, Outage::Cordoned);
+        }
+        let sent = request_purged(&mut harness, 1..60);
+        let direct = sent
+            .iter()
+            .find(|sent| route_kind(sent) == RouteKind::ParentWithoutFill);
+        let direct = direct.expect("an attempt directly at a parent").clone();
+        let next = harness.end_attempt(&direct, Status::Miss, FillNote::SourceMiss, 0);
+        assert!(next.iter().all(|sent| sent.request != direct.request));
+        let answered = harness.answers.contains_key(&direct.request);
+        assert_eq!(
+            answered, !caches_usable,
+            "waits for a cache if there is one"
+        );
+        if !caches_usable {
+            continue;
+        }
+        let at_cache = sent.iter().find(|sent| sent.target < 20).unwrap();
+        harness.serve(at_cache);
+        let filled = harness
+            .attempts_in_flight()
+            .into_iter()
+            .find(|sent| sent.request == direct.request);
+        let filled = filled.map(|sent| route_kind(&sent));
+        assert_eq!(filled, Some(RouteKind::CacheFilledByParent));
+    }
+}
