Close connections only once their clients have received the responses

After SIGTERM the front ended under such clients, and their next bytes were reset. Cause: a response counted as delivered once the local kernel had taken it, which takes megabytes (3,002,368 bytes unacknowledged were seen). The connection seemed idle 0.2 s after the last write: its write side was closed, further input was discarded, though the client could not have read the notification behind its responses, and 0.5 s later the socket was closed. The next bytes of the client met a closed socket. Change: the kernel tells what the peer has not acknowledged (SIOCOUTQ). Until that is acknowledged, or the deadline of the request, a response is pending: such a connection is not idle. The 1.5 s for clients that ignore a drain count from when the notification, by its position in the output, is received, the 0.5 s after the write side was closed from when the responses are. A front that ends goes on reading until the responses are received or its deadline. It works because no socket is closed any more while a reset could drop a response. Why not simply wait until nothing is in transit: a client that goes on sending always has a response in transit. Related paths: quiesce, SIGTERM, idle time, malformed and overdue input, and lack of slots or descriptors use the same check; read and not affected: half-closed connections, operators, ACME challenges, lists for peers, cache nodes. Left: connections closed for memory.

--- a/front/src/routing/admission.rs
+++ b/front/src/routing/admission.rs
@@ -14,7 +14,7 @@
         if self.by_transaction.contains_key(&transaction)
             || self.by_reply_to.contains_key(&reply_to)
         {
-            return self.respond(reply_to, Some(pending.class), Response::Failed);
+            return self.respond_to(&pending, Response::Failed);
         }
         if let Some(reason) = self.rejection_reason() {
             let line = format!(
@@ -26,7 +26,7 @@
             );
             self.commands.push_back(Command::Log(line));
             let response = Response::Rejected(self.overload_retry_after());
-            return self.respond(reply_to, Some(pending.class), response);
+            return self.respond_to(&pending, response);
         }
         let id = request.id;
         self.by_reply_to.insert(reply_to, id);
--- a/front/src/routing/ingress.rs
+++ b/front/src/routing/ingress.rs
@@ -12,7 +12,7 @@
         let write = class.is_some_and(|class| self.deployment.settings.classes[class].write);
         // Only requests that are executed by the origin may lack an object.
         let Some(class) = class.filter(|_| write || received.object.is_some()) else {
-            return self.respond(reply_to, None, Response::Failed);
+            return self.respond(reply_to, None, Response::Failed, now);
         };
         let deadline = self.deadline(now, class, received.time_limit);
         self.last_request_id += 1;
--- a/front/src/routing/relay.rs
+++ b/front/src/routing/relay.rs
@@ -22,16 +22,26 @@
 
     /// Sends the final response to a request that is still pending.
     pub(super) fn conclude(&mut self, id: RequestId, response: Response) {
-        if let Some(PendingRequest {
-            reply_to, class, ..
-        }) = self.remove_pending(id)
-        {
-            self.respond(reply_to, Some(class), response);
+        if let Some(pending) = self.remove_pending(id) {
+            self.respond_to(&pending, response);
         }
     }
 
-    /// Sends and counts a final response. Requests of unknown classes are not counted.
-    pub(super) fn respond(&mut self, to: ReplyTo, class: Option<usize>, response: Response) {
+    /// Sends and counts the final response to a request.
+    pub(super) fn respond_to(&mut self, request: &PendingRequest, response: Response) {
+        let class = Some(request.class);
+        self.respond(request.reply_to, class, response, request.deadline);
+    }
+
+    /// Sends and counts a final response that the client waits for until `deadline`. Requests of unknown classes are not
+    /// counted.
+    pub(super) fn respond(
+        &mut self,
+        to: ReplyTo,
+        class: Option<usize>,
+        response: Response,
+        deadline: Timestamp,
+    ) {
         if let Some(counts) = class.and_then(|class| self.counts.get_mut(class)) {
             match response {
                 Response::Served(_) | Response::NotModified => counts.served += 1,
@@ -39,7 +49,11 @@
                 Response::Failed => counts.failed += 1,
             }
         }
-        self.commands.push_back(Command::Respond { to, response });
+        self.commands.push_back(Command::Respond {
+            to,
+            response,
+            deadline,
+        });
     }
 
     /// Removes a request and its index entries, and returns it if it was pending.
--- a/front/src/routing/types.rs
+++ b/front/src/routing/types.rs
@@ -316,6 +316,8 @@
         to: ReplyTo,
         /// The only response to the request on that stream.
         response: Response,
+        /// Until when the client waits for the response.
+        deadline: Timestamp,
     },
     /// Call [`handle_timer`](super::RequestPipeline::handle_timer) when the timer expires.
     SetTimer {
--- a/front/src/server/downstream.rs
+++ b/front/src/server/downstream.rs
@@ -7,7 +7,7 @@
 use crate::protocol::client::{self, RequestError};
 use crate::routing::{ClientRequest, ReplyTo, Response};
 use crate::transport::{Reactor, Registered, Stream};
-use connection::{Connection, ConnectionState, READ_PAUSE_WITH_REQUESTS};
+use connection::{Connection, ConnectionState, DrainNotice, READ_PAUSE_WITH_REQUESTS};
 use cranesill::api::{Micros, Timestamp};
 use rustls::ServerConnection;
 use std::collections::{HashMap, HashSet, VecDeque};
@@ -15,7 +15,8 @@
 use std::net::TcpStream;
 use unconfirmed::Unconfirmed;
 
-/// A connection whose write side was closed is closed after this time even if its client does not close it.
+/// A connection whose write side was closed is closed this long after its client has received all responses, even if the client does
+/// not close it.
 const CLOSE_TIMEOUT: Micros = 500_000;
 /// Limits on one read, and on the reads of one connection in one turn of the event loop, so that no client monopolizes the loop.
 const MAX_READ_BYTES: usize = 16 * 1024;
@@ -80,6 +81,12 @@
         self.connections.values().all(|c| c.stream.flushed())
     }
 
+    /// Whether a client still receives responses that it waits for.
+    pub fn has_undelivered_responses(&self, now: Timestamp) -> bool {
+        let mut connections = self.connections.values();
+        connections.any(|connection| connection.has_undelivered_responses(now))
+    }
+
     /// Whether a request is partially received, or held back until its client is known to be connected.
     pub fn has_partial_requests(&self) -> bool {
         let is_partial =
@@ -149,7 +156,8 @@
             active_at: now,
             incomplete_since: Some(now),
             paused_at: None,
-            notified_at: None,
+            deliver_by: 0,
+            drain_notice: DrainNotice::NotSent,
             accept_delay,
         };
         self.connections.insert(key, client);
@@ -251,13 +259,20 @@
         }
     }
 
-    /// Sends the final response of a stream.
-    pub fn respond(&mut self, now: Timestamp, to: ReplyTo, response: Response) {
+    /// Sends the final response of a stream, which its client waits for until `deadline`.
+    pub fn respond(
+        &mut self,
+        now: Timestamp,
+        to: ReplyTo,
+        response: Response,
+        deadline: Timestamp,
+    ) {
         let Some(client) = self.connections.get_mut(&to.client) else {
             return;
         };
         if client.open_streams.remove(&to.stream) {
             client.stream.push(client::answer(to.stream, response));
+            client.deliver_by = client.deliver_by.max(deadline);
             self.flush(now, to.client);
         }
     }
@@ -275,7 +290,7 @@
         client.stream.update_total(&mut self.buffered_bytes);
         let done = client.open_streams.is_empty() && client.stream.flushed();
         if client.state == ConnectionState::Draining && done {
-            // All output is written: the client closes the connection, or a sweep does after the timeout.
+            // The kernel has all output: the client closes the connection, or a sweep does after the timeout.
             client.stream.shutdown_write();
             client.state = ConnectionState::WriteClosed(now + CLOSE_TIMEOUT);
         }
--- a/front/src/server/downstream/connection.rs
+++ b/front/src/server/downstream/connection.rs
@@ -1,5 +1,5 @@
 //! A client connection: its state and the processing of received frames.
-use super::ClientEvent;
+use super::{ClientEvent, CLOSE_TIMEOUT};
 use crate::protocol::client::{self, Message, RequestError};
 use crate::routing::{ClientRequest, ReplyTo};
 use crate::transport::Stream;
@@ -29,6 +29,8 @@
 /// | `Draining` | discarded | `HalfClosed` | write side closed: `WriteClosed` |
 /// | `WriteClosed` | discarded | closed | closed at the given time, even if the client does not close it |
 ///
+/// In `WriteClosed` the time moves on while the client still receives responses.
+///
 /// A reset closes the connection in every state. Input is discarded rather than left unread, because closing a socket with unread
 /// input resets the connection and loses responses in transit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -43,6 +45,30 @@
     WriteClosed(Timestamp),
 }
 
+/// The notification that asks a client to send no new requests on its connection. It is queued behind earlier responses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum DrainNotice {
+    NotSent,
+    InTransit {
+        /// Its end in the output.
+        position: u64,
+        /// The earliest time at which the client may have received it: when it was sent, or when it was last seen in transit.
+        since: Timestamp,
+    },
+    /// The client received it, not before this time.
+    Delivered(Timestamp),
+}
+
+impl DrainNotice {
+    /// The earliest time at which the client may have received the notification; `None` if it was not sent.
+    fn received_at(self) -> Option<Timestamp> {
+        match self {
+            DrainNotice::NotSent => None,
+            DrainNotice::InTransit { since: at, .. } | DrainNotice::Delivered(at) => Some(at),
+        }
+    }
+}
+
 /// A client connection.
 #[derive(Debug)]
 pub(super) struct Connection {
@@ -50,30 +76,63 @@
     /// Streams whose response is not queued yet.
     pub(super) open_streams: HashSet<u32>,
     pub(super) state: ConnectionState,
-    /// When data was last received or written.
+    /// When data was last received or written, or was last seen in transit while draining or idle.
     pub(super) active_at: Timestamp,
     /// When the first byte of an incomplete frame arrived, or when the connection was accepted if no frame is complete yet; `None`
     /// between frames.
     pub(super) incomplete_since: Option<Timestamp>,
     /// When reading was paused after a malformed request.
     pub(super) paused_at: Option<Timestamp>,
-    /// When the client was asked to send no new requests on this connection.
-    pub(super) notified_at: Option<Timestamp>,
+    /// The latest deadline of the responses on this connection. Until then what the client has not acknowledged counts as pending.
+    pub(super) deliver_by: Timestamp,
+    pub(super) drain_notice: DrainNotice,
     /// How long the first requests may have been in the accept queue; 0 after the first read.
     pub(super) accept_delay: Micros,
 }
 
 impl Connection {
-    /// Whether a draining connection can be closed: no request is open, partially received or likely to be in transit. A client
-    /// whose request crosses the close sends it again on another connection.
+    /// Whether a draining connection can be closed: no request is open, partially received or likely to be in transit. A client whose
+    /// request crosses the close sends it again on another connection. One that still receives earlier responses cannot have received
+    /// the notification, and its requests are still accepted.
     pub(super) fn is_closable(&self, now: Timestamp) -> bool {
+        // A client that goes on sending always has a response in transit; it is received before the connection is closed.
         let grace_is_over = |notified_at: Timestamp| {
             let idle_since = notified_at.max(self.active_at);
-            now > notified_at + MAX_DRAINING_TIME || now > idle_since + MIN_DRAINING_IDLE
+            now > notified_at + MAX_DRAINING_TIME
+                || now > idle_since + MIN_DRAINING_IDLE && !self.has_undelivered_responses(now)
         };
-        let idle =
-            self.open_streams.is_empty() && self.stream.flushed() && self.stream.input().is_empty();
-        idle && self.notified_at.is_some_and(grace_is_over)
+        self.open_streams.is_empty()
+            && self.stream.flushed()
+            && self.stream.input().is_empty()
+            && self.drain_notice.received_at().is_some_and(grace_is_over)
+    }
+
+    /// Whether the client still receives responses that it waits for. What the local kernel has taken is not delivered until the client
+    /// has acknowledged it: closing the connection before that can lose it.
+    pub(super) fn has_undelivered_responses(&self, now: Timestamp) -> bool {
+        !self.stream.flushed() || now < self.deliver_by && self.stream.has_undelivered_output()
+    }
+
+    /// Records responses that are still in transit as activity, and whether the client has received the notification to drain.
+    pub(super) fn update_delivery(&mut self, now: Timestamp) {
+        let undelivered = self.has_undelivered_responses(now);
+        if undelivered && self.stream.flushed() {
+            self.active_at = now;
+        }
+        if let DrainNotice::InTransit { position, since } = self.drain_notice {
+            let in_transit = undelivered && self.stream.acknowledged_position() < position;
+            self.drain_notice = if in_transit {
+                let since = now;
+                DrainNotice::InTransit { position, since }
+            } else {
+                DrainNotice::Delivered(since)
+            };
+        }
+        if let ConnectionState::WriteClosed(closes_at) = &mut self.state {
+            if undelivered {
+                *closes_at = now + CLOSE_TIMEOUT;
+            }
+        }
     }
 
     /// Whether the connection should be read from.
--- a/front/src/server/downstream/eviction.rs
+++ b/front/src/server/downstream/eviction.rs
@@ -1,5 +1,5 @@
 //! Closes connections that are dead, idle, or needed for other clients.
-use super::connection::{Connection, ConnectionState};
+use super::connection::{Connection, ConnectionState, DrainNotice};
 use super::{ClientEvent, Clients};
 use cranesill::api::{Micros, Timestamp};
 
@@ -54,6 +54,10 @@
                 continue;
             };
             let was_open = connection.state == ConnectionState::Open;
+            let is_idle = now > connection.active_at + IDLE_TIMEOUT;
+            if !was_open || is_idle || connection.drain_notice != DrainNotice::NotSent {
+                connection.update_delivery(now);
+            }
             let expected_since = connection.incomplete_since;
             if was_open && expected_since.is_some_and(|since| now > since + FRAME_TIMEOUT) {
                 connection.reject_input();
@@ -92,8 +96,9 @@
     }
 
     /// Closes a connection without open requests, preferably one that never sent a complete frame, then the one idle for longest.
-    /// Connections with unread input, probably a request, are skipped. Returns whether a connection was closed.
-    pub fn evict(&mut self) -> bool {
+    /// Connections with unread input, probably a request, and those whose clients still receive responses are skipped. Returns whether
+    /// a connection was closed.
+    pub fn evict(&mut self, now: Timestamp) -> bool {
         let free = self
             .connections
             .iter()
@@ -102,22 +107,24 @@
             .map(|(key, c)| (c.incomplete_since.is_none(), c.active_at, *key))
             .collect();
         idle.sort_unstable();
-        let unread = |key: &usize| {
+        let in_use = |key: &usize| {
             self.connections
                 .get(key)
-                .is_some_and(|c| c.stream.has_unread_input())
+                .is_some_and(|c| c.stream.has_unread_input() || c.has_undelivered_responses(now))
         };
         let key = idle
             .into_iter()
             .map(|(.., key)| key)
-            .find(|key| !unread(key));
+            .find(|key| !in_use(key));
         key.map(|key| self.disconnect(key)).is_some()
     }
 
     /// Closes the connection idle for longest, if that is at least [`MIN_EVICTABLE_IDLE`]. Returns whether a connection was closed.
     pub fn evict_idle(&mut self, now: Timestamp) -> bool {
         let idle = |c: &Connection| {
-            c.open_streams.is_empty() && c.stream.flushed() && c.stream.input().is_empty()
+            c.open_streams.is_empty()
+                && c.stream.input().is_empty()
+                && !c.has_undelivered_responses(now)
         };
         let evictable = |c: &Connection| idle(c) && now > c.active_at + MIN_EVICTABLE_IDLE;
         let oldest = self
--- a/front/src/server/downstream/lifecycle.rs
+++ b/front/src/server/downstream/lifecycle.rs
@@ -1,4 +1,5 @@
 //! Draining and closing of all client connections.
+use super::connection::DrainNotice;
 use super::Clients;
 use crate::protocol::client;
 use cranesill::api::Timestamp;
@@ -39,9 +40,12 @@
     /// Asks a client, once per connection, to send no new requests on it.
     pub(super) fn notify_draining(&mut self, now: Timestamp, key: usize) {
         let connection = self.connections.get_mut(&key);
-        if let Some(connection) = connection.filter(|c| c.notified_at.is_none()) {
+        if let Some(connection) = connection.filter(|c| c.drain_notice == DrainNotice::NotSent) {
             connection.stream.push(client::no_more());
-            connection.notified_at = Some(now);
+            connection.drain_notice = DrainNotice::InTransit {
+                position: connection.stream.output_position(),
+                since: now,
+            };
         }
         self.flush(now, key);
     }
--- a/front/src/server/downstream/tests.rs
+++ b/front/src/server/downstream/tests.rs
@@ -1,3 +1,5 @@
+mod delivery;
+
 use super::connection::{MAX_DRAINING_TIME, MIN_DRAINING_IDLE, READ_PAUSE};
 use super::eviction::IDLE_TIMEOUT;
 use super::*;
@@ -71,7 +73,7 @@
     let established = harness.client(0, 1);
     harness.send_and_read(1, &established, 1, &READY);
     let _silent = harness.client(2, 2);
-    assert!(harness.clients.evict());
+    assert!(harness.clients.evict(1_000));
     assert!(harness.clients.has_connection(1) && !harness.clients.has_connection(2));
 }
 
@@ -136,7 +138,7 @@
     let [ClientEvent::BadRequest(from, _)] = events[..] else {
         panic!("{events:?}")
     };
-    harness.clients.respond(2, from, Response::Failed);
+    harness.clients.respond(2, from, Response::Failed, 2);
     (&client).write_all(&[0, 0, 0, 5, 12, 0, 0, 0, 1]).unwrap();
     assert!(!harness.becomes_readable(20_000), "reading is paused");
     let read_at = harness.clients.next_deadline().expect("reading resumes");
@@ -215,9 +217,12 @@
     harness.clients.resume();
     let _new = harness.client(MIN_DRAINING_IDLE + 20, 4);
     harness.send_and_read(MIN_DRAINING_IDLE + 20, &_new, 4, &READY);
-    harness
-        .clients
-        .respond(MIN_DRAINING_IDLE + 30, from, Response::Failed);
+    harness.clients.respond(
+        MIN_DRAINING_IDLE + 30,
+        from,
+        Response::Failed,
+        MIN_DRAINING_IDLE + 30,
+    );
     harness.send_and_read(MAX_DRAINING_TIME, &active, 3, &READY);
     sweep(&mut harness, MAX_DRAINING_TIME + 10);
     assert!(closes(&harness, 2), "closed once its request is answered");
@@ -243,12 +248,12 @@
     pending.write_all(&READY).unwrap();
     assert!(harness.becomes_readable(20_000_000));
     assert!(
-        harness.clients.evict()
+        harness.clients.evict(1_000)
             && harness.clients.has_connection(1)
             && !harness.clients.has_connection(2),
         "the connection idle for longer has unread input"
     );
-    assert!(!harness.clients.evict() && harness.clients.has_connection(1));
+    assert!(!harness.clients.evict(1_000) && harness.clients.has_connection(1));
 }
 
 #[test]
@@ -283,7 +288,7 @@
         let body = vec![7; 1 << 20].into();
         harness
             .clients
-            .respond(1, ReplyTo { client: 1, stream }, Response::Served(body));
+            .respond(1, ReplyTo { client: 1, stream }, Response::Served(body), 1);
     }
     harness
         .clients
@@ -306,7 +311,7 @@
     let [ClientEvent::Request(from, _)] = events[..] else {
         panic!("{events:?}")
     };
-    harness.clients.respond(3, from, Response::Failed);
+    harness.clients.respond(3, from, Response::Failed, 3);
     client
         .set_read_timeout(Some(std::time::Duration::from_secs(5)))
         .unwrap();
--- a/front/src/server/drain.rs
+++ b/front/src/server/drain.rs
@@ -10,7 +10,8 @@
 const KILL_DELAY: Micros = 700_000;
 /// The process exits this long before the platform kills it.
 const END_MARGIN: Micros = 100_000;
-/// Time that clients have to read their responses and close their connections.
+/// Time that clients have to read their responses and close their connections. Clients that still receive responses after it have until
+/// the process exits at the latest.
 const MAX_CLOSING_TIME: Micros = 200_000;
 /// After a handover to another process, connections stay open for their clients until this long before the longest class timeout.
 const HANDOVER_MARGIN: Micros = 200_000;
@@ -94,8 +95,13 @@
         }
     }
 
+    /// Whether the process exits: at the deadline, or once clients had time to read their responses and none still receives one.
+    pub fn is_over(&self, now: Timestamp, has_undelivered: impl FnOnce() -> bool) -> bool {
+        now >= self.end_at || self.stage(now) == Stage::Ended && !has_undelivered()
+    }
+
     /// Starts closing connections once no work is unfinished and clients had time to disconnect, or at the deadline. If closing starts
-    /// now, returns the latest time at which the shutdown ends.
+    /// now, returns the earliest time at which the process exits while clients are connected.
     pub fn begin_closing(
         &mut self,
         now: Timestamp,
--- a/front/src/server/drain/tests.rs
+++ b/front/src/server/drain/tests.rs
@@ -66,3 +66,19 @@
     );
     assert!(handed_over.begin_closing(2_800_000, false, true).is_some());
 }
+
+// Guards against an exit while a client still receives its responses, and against one that comes after the kill.
+#[test]
+fn the_process_exits_once_responses_are_received_and_in_time_if_they_are_not() {
+    let mut drain = Drain::new(0, &[5_000_000], false);
+    assert!(
+        !drain.is_over(1_200_000, || false),
+        "closing has not started"
+    );
+    drain.begin_closing(1_200_000, false, true);
+    assert!(!drain.is_over(1_399_999, || false));
+    assert!(drain.is_over(1_400_000, || false));
+    assert!(!drain.is_over(1_400_000, || true));
+    assert!(!drain.is_over(drain.end_at - 1, || true));
+    assert!(drain.is_over(drain.end_at, || true));
+}
--- a/front/src/server/event_loop/clients.rs
+++ b/front/src/server/event_loop/clients.rs
@@ -43,7 +43,7 @@
     }
 
     fn add_client(&mut self, now: Timestamp, socket: TcpStream) {
-        if !self.has_client_slot() {
+        if !self.has_client_slot(now) {
             return;
         }
         let key = self.next_key();
@@ -55,8 +55,8 @@
     }
 
     /// Whether another client may connect. At the limit on clients, a connection without a request is closed to make this possible.
-    fn has_client_slot(&mut self) -> bool {
-        self.clients.len() < self.config.max_clients() || self.clients.evict()
+    fn has_client_slot(&mut self, now: Timestamp) -> bool {
+        self.clients.len() < self.config.max_clients() || self.clients.evict(now)
     }
 
     /// Stops polling the listener until `until` after a failed `accept`.
@@ -85,7 +85,7 @@
         mut socket: Registered<TcpStream>,
         connection: rustls::ServerConnection,
     ) {
-        if !self.has_client_slot() {
+        if !self.has_client_slot(now) {
             return;
         }
         let key = self.next_key();
@@ -126,7 +126,7 @@
                 }
                 ClientEvent::BadRequest(from, error) => {
                     tracing::info!(%error, "bad request: answered as failed");
-                    self.clients.respond(now, from, Response::Failed);
+                    self.clients.respond(now, from, Response::Failed, now);
                 }
                 ClientEvent::Disconnected(from) => {
                     self.disconnected.push(from);
--- a/front/src/server/event_loop/dispatch.rs
+++ b/front/src/server/event_loop/dispatch.rs
@@ -63,7 +63,11 @@
                 self.upstream.cancel(now, attempt, ends);
                 ends.insert(0, (attempt, AttemptEnd::Cancelled));
             }
-            Command::Respond { to, response } => self.clients.respond(now, to, response),
+            Command::Respond {
+                to,
+                response,
+                deadline,
+            } => self.clients.respond(now, to, response, deadline),
             Command::SetTimer { at, timer } => self.timers.add(at, Timer::Routing(timer)),
             Command::StaleCopyServed(endpoint) => {
                 let endpoint = endpoint.0;
--- a/front/src/server/event_loop/shutdown.rs
+++ b/front/src/server/event_loop/shutdown.rs
@@ -65,7 +65,7 @@
             self.timers.add(end_at, Timer::ShutdownStage);
         }
         let all_closed = self.clients.closes_all() && self.clients.len() == 0;
-        drain.stage(now) == Stage::Ended || all_closed
+        all_closed || drain.is_over(now, || self.clients.has_undelivered_responses(now))
     }
 
     /// Drains this front until an operator resumes it: clients are asked to send no new requests, accepted requests are answered.
--- a/front/src/transport/socket.rs
+++ b/front/src/transport/socket.rs
@@ -2,6 +2,7 @@
 use socket2::{Domain, Protocol, Socket, Type};
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
 
 /// Errors of `connect` that mean the connection is in progress or already established.
 const CONNECT_IN_PROGRESS: [i32; 3] = [libc::EINPROGRESS, libc::EALREADY, libc::EISCONN];
@@ -42,6 +43,19 @@
     Ok(socket.into())
 }
 
+/// Returns the number of bytes that the kernel has accepted for sending and that the peer has not acknowledged; 0 if the system
+/// does not report it.
+#[allow(unsafe_code)]
+pub fn unacknowledged_bytes(socket: &TcpStream) -> usize {
+    let mut bytes: libc::c_int = 0;
+    // SAFETY: TIOCOUTQ (SIOCOUTQ, tcp(7)) writes one `int` to the pointer, which is valid during the call.
+    let result = unsafe { libc::ioctl(socket.as_raw_fd(), libc::TIOCOUTQ, &raw mut bytes) };
+    if result < 0 {
+        return 0;
+    }
+    usize::try_from(bytes).unwrap_or(0)
+}
+
 /// Why an inherited descriptor cannot be used as the listener.
 #[derive(Debug, thiserror::Error)]
 pub enum InheritedSocketError {
--- a/front/src/transport/stream.rs
+++ b/front/src/transport/stream.rs
@@ -1,6 +1,7 @@
 //! Buffered, non-blocking connections.
 mod tls;
 
+use super::socket::unacknowledged_bytes;
 use super::{Reactor, Registered};
 use rustls::ServerConnection;
 use std::collections::VecDeque;
@@ -56,6 +57,8 @@
     written: usize,
     /// Total length of the messages in `output`.
     output_len: usize,
+    /// Number of output bytes that the socket or the TLS session has accepted so far.
+    accepted_bytes: u64,
     /// The value of `buffered_bytes` that a total over connections currently includes.
     counted: usize,
     interest: Interest,
@@ -97,6 +100,7 @@
             output: VecDeque::new(),
             written: 0,
             output_len: 0,
+            accepted_bytes: 0,
             counted: 0,
             interest: Interest {
                 read: true,
@@ -205,6 +209,24 @@
                 .is_none_or(|tls| !tls.connection.wants_write())
     }
 
+    /// Whether the peer has not acknowledged all output yet: part of it is queued here or in the kernel.
+    pub fn has_undelivered_output(&self) -> bool {
+        !self.flushed() || unacknowledged_bytes(&self.socket) > 0
+    }
+
+    /// Returns the number of output bytes so far, up to the end of the last queued message.
+    pub fn output_position(&self) -> u64 {
+        self.accepted_bytes + (self.output_len - self.written) as u64
+    }
+
+    /// Returns up to which [`Stream::output_position`] the peer has acknowledged the output, at least: with TLS the overhead of
+    /// encryption counts as not acknowledged.
+    pub fn acknowledged_position(&self) -> u64 {
+        let in_session = self.tls.as_ref().map_or(0, |tls| tls.unsent_bytes);
+        let in_transit = in_session + unacknowledged_bytes(&self.socket);
+        self.accepted_bytes.saturating_sub(in_transit as u64)
+    }
+
     /// Appends a message to the output queue.
     pub fn push(&mut self, out: Outgoing<T>) {
         self.output_len += out.len();
@@ -243,7 +265,10 @@
                 // The TLS buffer was full and has been written to the socket: continue with the output queue.
                 Ok(0) if self.tls.is_some() => continue,
                 Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
-                Ok(n) => self.written += n,
+                Ok(n) => {
+                    self.written += n;
+                    self.accepted_bytes += n as u64;
+                }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
                 Err(e) => return Err(e),
--- /dev/null
+++ b/front/tests/slow_readers.rs
@@ -0,0 +1,122 @@
+//! Clients that read their responses slowly. What the front's kernel has taken is not delivered: the connections stay open, and
+//! further requests on them are answered, until the clients have received their responses.
+mod common;
+use common::operations::{counters, operator_address, operator_command, with_operator_address};
+use common::*;
+use std::time::{Duration, Instant};
+
+/// Requests whose responses a client does not read at first. The kernel takes them all at once.
+const UNREAD_RESPONSES: u32 = 4;
+const RESPONSE_BYTES: usize = 100_000;
+/// Longer than it took the front to close a connection after it was drained, or to exit.
+const READ_DELAY: Duration = Duration::from_millis(2_500);
+/// The longest that a front may take to exit after SIGTERM.
+const MAX_EXIT_TIME: Duration = Duration::from_millis(3_700);
+
+/// Responds to every fetch from a cache with a body of [`RESPONSE_BYTES`].
+fn serve_large_hits(setup: &TestFront) {
+    for listener in &setup.caches {
+        let listener = listener.try_clone().unwrap();
+        std::thread::spawn(move || {
+            for socket in listener.incoming().map_while(Result::ok) {
+                let mut node = NodeConnection(std::io::BufReader::new(socket));
+                std::thread::spawn(move || {
+                    while let Some(command) = node.receive() {
+                        node.respond(&command[1], "HIT", "-", &"x".repeat(RESPONSE_BYTES));
+                    }
+                });
+            }
+        });
+    }
+}
+
+/// A front, its address for operators, and a client with responses that it has not read.
+fn front_with_unread_responses() -> (TestFront, std::net::SocketAddr, Client) {
+    let setup = TestFront::new(with_operator_address);
+    let operators = operator_address(&setup.log);
+    serve_large_hits(&setup);
+    let mut client = setup.client_with_small_buffer();
+    for stream in 1..=UNREAD_RESPONSES {
+        client.request(stream, "page-bits", "20000", &[], b"");
+    }
+    let deadline = Instant::now() + Duration::from_secs(10);
+    while counters(operators)["handled.page-bits.passed"] < u64::from(UNREAD_RESPONSES) {
+        assert!(Instant::now() < deadline, "the requests are not answered");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    (setup, operators, client)
+}
+
+/// The frames up to the end of the connection, each as its type, stream and length.
+fn receive_all(client: &mut Client) -> Vec<(String, usize)> {
+    let frames = std::iter::from_fn(|| client.receive());
+    let described = frames.map(|frame| {
+        let (head, payload) = frame.split_once(": ").unwrap();
+        (head.to_string(), payload.len())
+    });
+    described.collect()
+}
+
+/// Streams with a complete response of [`RESPONSE_BYTES`].
+fn served(frames: &[(String, usize)]) -> Vec<u32> {
+    let large = frames.iter().filter(|frame| frame.1 > RESPONSE_BYTES);
+    let streams = large.filter_map(|frame| frame.0.strip_prefix("type 11 stream "));
+    let mut streams: Vec<u32> = streams.map(|stream| stream.parse().unwrap()).collect();
+    streams.sort_unstable();
+    streams
+}
+
+// Guards against a drained front that resets connections whose clients still read responses, and drops the requests that they
+// send before they can read the notification to stop.
+#[test]
+fn quiesced_front_answers_clients_that_still_read_their_responses() {
+    let (setup, operators, mut client) = front_with_unread_responses();
+    assert_eq!(operator_command(operators, "quiesce"), "+OK quiesced\n");
+    let quiesced_at = Instant::now();
+    let mut stream = UNREAD_RESPONSES;
+    while quiesced_at.elapsed() < READ_DELAY {
+        std::thread::sleep(Duration::from_millis(400));
+        stream += 1;
+        client.request(stream, "page-bits", "20000", &[], b"");
+    }
+    let frames = receive_all(&mut client);
+    let complete = served(&frames);
+    assert!(
+        (1..=UNREAD_RESPONSES).all(|stream| complete.contains(&stream)),
+        "{frames:?}"
+    );
+    for stream in 1..=stream {
+        let head = format!("type 11 stream {stream}");
+        let answers = frames.iter().filter(|frame| frame.0 == head);
+        assert_eq!(answers.count(), 1, "stream {stream}: {frames:?}");
+    }
+    assert_eq!(client.0.take_error().unwrap().map(|e| e.kind()), None);
+    drop(setup);
+}
+
+// Guards against a front that exits while clients still read their responses: their next message resets the connection.
+#[test]
+fn terminated_front_exits_after_slow_clients_have_received_their_responses() {
+    let (mut setup, _, mut client) = front_with_unread_responses();
+    setup.signal("-TERM");
+    let terminated_at = Instant::now();
+    std::thread::sleep(READ_DELAY);
+    // Cancels a stream that was answered long ago.
+    client.send(12, 1, &[]);
+    let frames = receive_all(&mut client);
+    assert_eq!(served(&frames), [1, 2, 3, 4], "{frames:?}");
+    assert!(setup.child.wait().unwrap().success());
+    let took = terminated_at.elapsed();
+    assert!(took < MAX_EXIT_TIME, "{took:?}");
+}
+
+// Guards against responses that are lost because the client sent something malformed after its requests.
+#[test]
+fn responses_are_delivered_before_a_connection_with_malformed_input_is_closed() {
+    let (_setup, _, mut client) = front_with_unread_responses();
+    client.send(255, 9, &[]);
+    std::thread::sleep(READ_DELAY);
+    client.send(20, 10, &[0]);
+    let frames = receive_all(&mut client);
+    assert_eq!(served(&frames), [1, 2, 3, 4], "{frames:?}");
+}
