Disconnect a slow reader only if it receives nothing until its deadlines

Callers that read less than one whole response in 10 s (240,000 bytes: under 24 KB/s) were disconnected while they read, before the deadlines of their requests. Cause: a connection counts as active when a whole response has been written; what the client acknowledges meanwhile was not looked at. Evidence: a_client_that_reads_slowly_... failed before: a client that reads 20 KB/s, deadline 20 s, was closed at 14.25 s. Change: until the deadlines of its responses a client that acknowledges any of them is not stalled, unless memory is short: then one whole response a second is still required, so that no client keeps the front from reading its endpoints by reading a byte at a time.

--- a/front/src/server/downstream.rs
+++ b/front/src/server/downstream.rs
@@ -158,6 +158,8 @@
             paused_at: None,
             deliver_by: 0,
             drain_notice: DrainNotice::NotSent,
+            received_position: 0,
+            received_at: now,
             accept_delay,
         };
         self.connections.insert(key, client);
--- a/front/src/server/downstream/connection.rs
+++ b/front/src/server/downstream/connection.rs
@@ -86,6 +86,10 @@
     /// The latest deadline of the responses on this connection. Until then what the client has not acknowledged counts as pending.
     pub(super) deliver_by: Timestamp,
     pub(super) drain_notice: DrainNotice,
+    /// Up to which position of the output the client had received it in the last sweep with unwritten output.
+    pub(super) received_position: u64,
+    /// When that position last advanced.
+    pub(super) received_at: Timestamp,
     /// How long the first requests may have been in the accept queue; 0 after the first read.
     pub(super) accept_delay: Micros,
 }
@@ -113,6 +117,20 @@
         !self.stream.flushed() || now < self.deliver_by && self.stream.has_undelivered_output()
     }
 
+    /// Records how far the client has received the output.
+    pub(super) fn update_received(&mut self, now: Timestamp) {
+        let position = self.stream.acknowledged_position();
+        if position > self.received_position {
+            self.received_position = position;
+            self.received_at = now;
+        }
+    }
+
+    /// Whether the client waits for its responses and has received part of them within `timeout`, though maybe no whole one.
+    pub(super) fn is_receiving(&self, now: Timestamp, timeout: Micros) -> bool {
+        now < self.deliver_by && now <= self.received_at + timeout
+    }
+
     /// Records responses that are still in transit as activity, and whether the client has received the notification to drain.
     pub(super) fn update_delivery(&mut self, now: Timestamp) {
         let undelivered = self.has_undelivered_responses(now);
--- a/front/src/server/downstream/eviction.rs
+++ b/front/src/server/downstream/eviction.rs
@@ -5,9 +5,10 @@
 
 /// Idle connections are closed after this time. Clients normally close them much earlier.
 pub(super) const IDLE_TIMEOUT: Micros = 10_000_000;
-/// A client that reads none of the pending output for this time is disconnected.
+/// A client that reads none of the pending output for this time is disconnected, and one that reads no whole response once the deadlines
+/// of its responses have passed.
 const STALL_TIMEOUT: Micros = 10_000_000;
-/// The same while so much is buffered that reading from upstream is paused.
+/// A client that reads no whole response for this time is disconnected while so much is buffered that reading from upstream is paused.
 const STALL_TIMEOUT_UNDER_PRESSURE: Micros = 1_000_000;
 /// Time limit for receiving a complete frame, from its first byte or, for the first frame, from the start of the connection.
 /// Disconnects clients that occupy connections without sending requests.
@@ -25,13 +26,9 @@
         max_buffered: usize,
     ) -> Vec<ClientEvent> {
         // Determined before any connection is closed.
-        let stall_timeout = if self.buffered_bytes > pressure {
-            STALL_TIMEOUT_UNDER_PRESSURE
-        } else {
-            STALL_TIMEOUT
-        };
+        let under_pressure = self.buffered_bytes > pressure;
         self.drain_idle(now);
-        let mut disconnected = self.close_stale(now, stall_timeout);
+        let mut disconnected = self.close_stale(now, under_pressure);
         while self.buffered_bytes > max_buffered {
             let largest = self
                 .connections
@@ -58,6 +55,9 @@
             if !was_open || is_idle || connection.drain_notice != DrainNotice::NotSent {
                 connection.update_delivery(now);
             }
+            if !connection.stream.flushed() {
+                connection.update_received(now);
+            }
             let expected_since = connection.incomplete_since;
             if was_open && expected_since.is_some_and(|since| now > since + FRAME_TIMEOUT) {
                 connection.reject_input();
@@ -73,8 +73,8 @@
     }
 
     /// Closes connections whose clients do not read, or do not close a connection after its write side was closed.
-    fn close_stale(&mut self, now: Timestamp, stall_timeout: Micros) -> Vec<ClientEvent> {
-        let is_stalled = |c: &Connection| !c.stream.flushed() && now > c.active_at + stall_timeout;
+    fn close_stale(&mut self, now: Timestamp, under_pressure: bool) -> Vec<ClientEvent> {
+        let is_stalled = |c: &Connection| is_stalled(c, now, under_pressure);
         let is_overdue =
             |c: &Connection| matches!(c.state, ConnectionState::WriteClosed(at) if now > at);
         let stale: Vec<_> = self
@@ -87,7 +87,7 @@
         if clients > 0 {
             tracing::info!(
                 clients,
-                timeout_ms = stall_timeout / 1_000,
+                timeout_ms = stall_timeout(under_pressure) / 1_000,
                 "disconnected clients that do not read their responses"
             );
         }
@@ -137,3 +137,21 @@
         key.map(|key| self.disconnect(key)).is_some()
     }
 }
+
+/// Time in which a client has to read a response.
+fn stall_timeout(under_pressure: bool) -> Micros {
+    if under_pressure {
+        STALL_TIMEOUT_UNDER_PRESSURE
+    } else {
+        STALL_TIMEOUT
+    }
+}
+
+/// Whether a client does not read its responses. Only whole responses count, except that until their deadlines any progress does if
+/// memory is not short.
+fn is_stalled(connection: &Connection, now: Timestamp, under_pressure: bool) -> bool {
+    let timeout = stall_timeout(under_pressure);
+    let reads_no_response = now > connection.active_at + timeout;
+    let reads_part = !under_pressure && connection.is_receiving(now, timeout);
+    !connection.stream.flushed() && reads_no_response && !reads_part
+}
--- a/front/src/server/downstream/tests/delivery.rs
+++ b/front/src/server/downstream/tests/delivery.rs
@@ -8,6 +8,8 @@
 const DEADLINE: Timestamp = 20 * SECOND;
 const RESPONSE_BYTES: usize = 200_000;
 const SWEEP_INTERVAL: Timestamp = 250_000;
+/// Most bytes of an object.
+const LARGEST_OBJECT_BYTES: usize = 240_000;
 /// A frame of an unknown type.
 const MALFORMED: [u8; 9] = [0, 0, 0, 5, 255, 0, 0, 0, 9];
 
@@ -31,6 +33,20 @@
     socket
 }
 
+/// Requests as many objects as may be open on a connection, and responds to them.
+fn queue_more_than_the_kernel_takes(harness: &mut Harness, client: &TcpStream) {
+    for stream in 2..=32 {
+        let mut request = REQUEST.to_vec();
+        request[8] = stream;
+        let events = harness.send_and_read(2, client, 1, &request);
+        let [ClientEvent::Request(from, _)] = events[..] else {
+            panic!("{events:?}")
+        };
+        let response = Response::Served(vec![7; LARGEST_OBJECT_BYTES].into());
+        harness.clients.respond(2, from, response, DEADLINE);
+    }
+}
+
 /// Writes until the kernel has taken all output.
 fn flush_all(harness: &mut Harness, now: Timestamp, key: usize) {
     while !harness.clients.connections[&key].stream.flushed() {
@@ -186,19 +202,9 @@
 #[test]
 fn a_client_that_reads_1_mb_per_second_is_not_disconnected_under_memory_pressure() {
     const READ_PER_SWEEP_BYTES: usize = 250_000;
-    const LARGEST_OBJECT_BYTES: usize = 240_000;
     let mut harness = Harness::new();
     let client = client_with_unread_response(&mut harness, 1, 1);
-    for stream in 2..=32 {
-        let mut request = REQUEST.to_vec();
-        request[8] = stream;
-        let events = harness.send_and_read(2, &client, 1, &request);
-        let [ClientEvent::Request(from, _)] = events[..] else {
-            panic!("{events:?}")
-        };
-        let response = Response::Served(vec![7; LARGEST_OBJECT_BYTES].into());
-        harness.clients.respond(2, from, response, DEADLINE);
-    }
+    queue_more_than_the_kernel_takes(&mut harness, &client);
     let unread = RESPONSE_BYTES + 31 * LARGEST_OBJECT_BYTES;
     let sweeps = (unread / READ_PER_SWEEP_BYTES) as u64;
     for sweep in 1..=sweeps {
@@ -208,3 +214,27 @@
         assert!(harness.clients.has_connection(1), "closed at {now} us");
     }
 }
+
+// Guards against a client that is taken for one that reads nothing because no whole response fits into its time.
+#[test]
+fn a_client_that_reads_slowly_is_not_disconnected_before_its_deadline() {
+    const READ_PER_SWEEP_BYTES: usize = 5_000;
+    let mut harness = Harness::new();
+    let client = client_with_unread_response(&mut harness, 1, 1);
+    queue_more_than_the_kernel_takes(&mut harness, &client);
+    for now in (SWEEP_INTERVAL..DEADLINE).step_by(SWEEP_INTERVAL as usize) {
+        read_all(&client, READ_PER_SWEEP_BYTES);
+        harness.clients.sweep(now, usize::MAX, usize::MAX);
+        assert!(harness.clients.has_connection(1), "closed at {now} us");
+    }
+}
+
+// Guards against a client that reads nothing and keeps its connection until a deadline that is far away.
+#[test]
+fn a_client_that_reads_nothing_is_disconnected_before_its_deadline() {
+    let mut harness = Harness::new();
+    let client = client_with_unread_response(&mut harness, 1, 1);
+    queue_more_than_the_kernel_takes(&mut harness, &client);
+    sweep(&mut harness, SWEEP_INTERVAL, DEADLINE / 2 + SECOND);
+    assert_eq!(state(&harness, 1), None);
+}
