Force slow readers over a hand-over, over TLS and beside the end of a process

Cause: the mend of connections closed over undelivered responses was tested for quiesce, SIGTERM and malformed input alone.

--- a/front/tests/common/mod.rs
+++ b/front/tests/common/mod.rs
@@ -138,14 +138,18 @@
 
     /// A client with a small receive buffer.
     pub fn client_with_small_buffer(&self) -> Client {
-        let socket =
-            socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
-        socket.set_recv_buffer_size(4_096).unwrap();
-        socket.connect(&self.address.into()).unwrap();
-        Client(with_read_timeout(socket.into()))
+        client_with_small_buffer(self.address)
     }
 }
 
+/// A client with a small receive buffer, connected to an address.
+pub fn client_with_small_buffer(address: SocketAddr) -> Client {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.set_recv_buffer_size(4_096).unwrap();
+    socket.connect(&address.into()).unwrap();
+    Client(with_read_timeout(socket.into()))
+}
+
 impl Drop for TestFront {
     fn drop(&mut self) {
         let _ = self.child.kill();
--- a/front/tests/slow_readers.rs
+++ b/front/tests/slow_readers.rs
@@ -1,8 +1,11 @@
 //! Clients that read their responses slowly. What the front's kernel has taken is not delivered: the connections stay open, and
 //! further requests on them are answered, until the clients have received their responses.
 mod common;
-use common::operations::{counters, operator_address, operator_command, with_operator_address};
+use common::operations::{
+    counters, operator_address, operator_command, with_operator_address, InheritedListener,
+};
 use common::*;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 /// Requests whose responses a client does not read at first. The kernel takes them all at once.
@@ -31,11 +34,17 @@
 }
 
 /// A front, its address for operators, and a client with responses that it has not read.
-fn front_with_unread_responses() -> (TestFront, std::net::SocketAddr, Client) {
+fn front_with_unread_responses() -> (TestFront, SocketAddr, Client) {
     let setup = TestFront::new(with_operator_address);
     let operators = operator_address(&setup.log);
     serve_large_hits(&setup);
     let mut client = setup.client_with_small_buffer();
+    request_without_reading(&mut client, operators);
+    (setup, operators, client)
+}
+
+/// Sends requests and waits until the front has answered them.
+fn request_without_reading(client: &mut Client, operators: SocketAddr) {
     for stream in 1..=UNREAD_RESPONSES {
         client.request(stream, "page-bits", "20000", &[], b"");
     }
@@ -44,7 +53,6 @@
         assert!(Instant::now() < deadline, "the requests are not answered");
         std::thread::sleep(Duration::from_millis(10));
     }
-    (setup, operators, client)
 }
 
 /// The frames up to the end of the connection, each as its type, stream and length.
@@ -110,6 +118,44 @@
     assert!(took < MAX_EXIT_TIME, "{took:?}");
 }
 
+// Guards against a process that ends under the clients of a front that another process has taken over.
+#[test]
+fn replaced_process_exits_after_slow_clients_have_received_their_responses() {
+    let nodes = TestFront::new(|_| {});
+    serve_large_hits(&nodes);
+    let inherited = InheritedListener::new(&nodes.config);
+    let (mut old, operators) = inherited.start();
+    wait_for_line(&old.log, "accepts clients");
+    let mut client = client_with_small_buffer(inherited.listener.local_addr().unwrap());
+    request_without_reading(&mut client, operators);
+    let (new, _) = inherited.start();
+    wait_for_line(&new.log, "waits for another process");
+    old.signal("-TERM");
+    let terminated_at = Instant::now();
+    wait_for_line(&new.log, "accepts clients");
+    // The platform lets clients send on open connections for a while.
+    let last_stream = UNREAD_RESPONSES + 1;
+    client.request(last_stream, "page-bits", "20000", &[], b"");
+    std::thread::sleep(READ_DELAY);
+    client.send(12, 1, &[]);
+    let frames = receive_all(&mut client);
+    assert_eq!(served(&frames), [1, 2, 3, 4, last_stream], "{frames:?}");
+    assert!(old.child.wait().unwrap().success());
+    let took = terminated_at.elapsed();
+    assert!(took < MAX_EXIT_TIME, "{took:?}");
+}
+
+// Guards against a client that reads nothing and holds up the end of the process until it is killed.
+#[test]
+fn terminated_front_exits_in_time_beside_a_client_that_reads_nothing() {
+    let (mut setup, _, _client) = front_with_unread_responses();
+    setup.signal("-TERM");
+    let terminated_at = Instant::now();
+    assert!(setup.child.wait().unwrap().success());
+    let took = terminated_at.elapsed();
+    assert!(took < MAX_EXIT_TIME, "{took:?}");
+}
+
 // Guards against responses that are lost because the client sent something malformed after its requests.
 #[test]
 fn responses_are_delivered_before_a_connection_with_malformed_input_is_closed() {
--- a/front/tests/tls.rs
+++ b/front/tests/tls.rs
@@ -507,3 +507,32 @@
     usual.request(1).unwrap();
     assert!(usual.receive().unwrap().ends_with(b"x"));
 }
+
+// Guards against a front that exits while TLS clients still read their responses: their next message resets the connection.
+#[test]
+fn terminated_front_exits_after_slow_tls_clients_have_received_their_responses() {
+    const RESPONSES: u32 = 8;
+    const RESPONSE_BYTES: usize = 200_000;
+    // Longer than it took the front to exit.
+    const READ_DELAY: Duration = Duration::from_millis(2_500);
+    let fixture = Fixture::new("http-01", json!([{"names": ["front1.example"]}]));
+    let mut setup = fixture.start();
+    let body: &'static str = "x".repeat(RESPONSE_BYTES).leak();
+    setup.caches.iter().for_each(|cache| serve_all(cache, body));
+    wait_for_line(&setup.log, "kind=issued");
+    let mut client = fixture.connect("front1.example").unwrap();
+    for stream in 1..=RESPONSES {
+        client.request(stream).unwrap();
+    }
+    // The first response shows that the requests are taken; the others stay unread.
+    let mut served = vec![client.receive().unwrap().len()];
+    setup.signal("-TERM");
+    std::thread::sleep(READ_DELAY);
+    client.send(12, 1, &[]).unwrap();
+    while let Ok(frame) = client.receive() {
+        served.push(frame.len());
+    }
+    served.retain(|length| *length > RESPONSE_BYTES);
+    assert_eq!(served.len(), RESPONSES as usize);
+    assert!(setup.child.wait().unwrap().success());
+}
