Limit the memory of incomplete client messages at each read

Change: the capacity of the input buffers is counted, and after each read, while it is over a quarter of the memory, the connection with the longest incomplete message is closed. Not covered: bodies of complete requests, replies of endpoints, other listeners, TLS records, one account for all, mixed kinds of bad clients.

--- a/front/src/server/config.rs
+++ b/front/src/server/config.rs
@@ -141,6 +141,12 @@
         self.memory * 5 / 8 / self.processes()
     }
 
+    /// Returns the memory that the input buffers of all clients may occupy. Above it the clients with the longest incomplete messages are
+    /// disconnected. It is less than the limit at which reading from upstream pauses.
+    pub fn max_client_input(&self) -> usize {
+        self.memory / 4 / self.processes()
+    }
+
     /// Returns a one-line summary of the configuration.
     pub fn summary(&self) -> String {
         format!(
--- a/front/src/server/downstream.rs
+++ b/front/src/server/downstream.rs
@@ -47,6 +47,8 @@
     closes_all: bool,
     /// Bytes of unconsumed input and unwritten output on all connections.
     buffered_bytes: usize,
+    /// Memory occupied by the input buffers of all connections.
+    input_bytes: usize,
     /// Events for the requests of connections that failed during a write.
     disconnected: Vec<ClientEvent>,
     /// Connections with open requests whose reading is paused, with the time at which it resumes.
@@ -225,6 +227,7 @@
         if connection.state != ConnectionState::Open {
             let length = connection.stream.input().len();
             connection.stream.consume(length);
+            connection.stream.update_input_total(&mut self.input_bytes);
             return;
         }
         connection.active_at = now;
@@ -290,6 +293,7 @@
             client.active_at = now;
         }
         client.stream.update_total(&mut self.buffered_bytes);
+        client.stream.update_input_total(&mut self.input_bytes);
         let done = client.open_streams.is_empty() && client.stream.flushed();
         if client.state == ConnectionState::Draining && done {
             // The kernel has all output: the client closes the connection, or a sweep does after the timeout.
@@ -315,6 +319,7 @@
             return Vec::new();
         };
         client.stream.remove_from_total(&mut self.buffered_bytes);
+        client.stream.remove_from_input_total(&mut self.input_bytes);
         self.unconfirmed.drop_client(key);
         let mut open: Vec<_> = client.open_streams.into_iter().collect();
         open.sort_unstable();
--- a/front/src/server/downstream/eviction.rs
+++ b/front/src/server/downstream/eviction.rs
@@ -41,6 +41,21 @@
         disconnected
     }
 
+    /// Closes the connections with the longest incomplete frames while the input buffers of all occupy more than `max_input_bytes`, and
+    /// returns their events. Called after each read: many clients that send at once exceed the limit long before the next sweep.
+    pub fn limit_input(&mut self, max_input_bytes: usize) -> Vec<ClientEvent> {
+        let mut disconnected = Vec::new();
+        while self.input_bytes > max_input_bytes {
+            let connections = self.connections.iter();
+            let longest = connections.max_by_key(|(key, c)| (c.stream.input().len(), **key));
+            let Some(key) = longest.map(|(key, _)| *key) else {
+                break;
+            };
+            disconnected.extend(self.disconnect(key));
+        }
+        disconnected
+    }
+
     /// Rejects further input on connections with an overdue frame, drains idle connections, and resumes reading where a pause is
     /// over.
     fn drain_idle(&mut self, now: Timestamp) {
--- a/front/src/server/downstream/tests.rs
+++ b/front/src/server/downstream/tests.rs
@@ -324,3 +324,28 @@
     // Later requests are discarded.
     assert!(harness.send_and_read(4, &client, 1, request).is_empty());
 }
+
+// Guards against clients with incomplete frames that exceed the memory limit before the next sweep.
+#[test]
+fn clients_with_the_longest_incomplete_frames_are_disconnected_at_the_limit() {
+    const MAX_INPUT_BYTES: usize = 100_000;
+    const BAD_CLIENTS: usize = 20;
+    let mut harness = Harness::new();
+    let usual = harness.client(0, 1);
+    harness.send_and_read(1, &usual, 1, REQUEST);
+    let mut sockets = Vec::new();
+    for key in 2..2 + BAD_CLIENTS {
+        let socket = harness.client(1, key);
+        let part = [&[0, 4, 0, 0, 10][..], &vec![0; 4_000 + 500 * key]].concat();
+        harness.send_and_read(1, &socket, key, &part);
+        sockets.push(socket);
+        harness.clients.limit_input(MAX_INPUT_BYTES);
+        assert!(harness.clients.input_bytes <= MAX_INPUT_BYTES);
+    }
+    let kept = |key: usize| harness.clients.has_connection(key);
+    assert!(kept(1), "the client with an open request");
+    assert!(kept(2) && !kept(1 + BAD_CLIENTS), "the longest goes first");
+    let events = harness.clients.limit_input(0);
+    assert!(matches!(events[..], [ClientEvent::Disconnected(_)]));
+    assert_eq!(harness.clients.input_bytes, 0, "released on every way out");
+}
--- a/front/src/server/event_loop/clients.rs
+++ b/front/src/server/event_loop/clients.rs
@@ -93,8 +93,7 @@
             return tracing::warn!(%error, "cannot register a TLS client: connection closed");
         }
         self.clients.add_tls(now, socket, connection, key);
-        let events = self.clients.read(now, key);
-        self.handle_client_events(now, events);
+        self.read_client(now, key);
         self.cancel_disconnected(now);
     }
 
@@ -110,11 +109,19 @@
             self.clients.flush(now, key);
         }
         if readable {
-            let events = self.clients.read(now, key);
-            self.handle_client_events(now, events);
+            self.read_client(now, key);
         }
     }
 
+    /// Reads from a client connection, and disconnects clients if the input of all exceeds its limit.
+    fn read_client(&mut self, now: Timestamp, key: usize) {
+        let events = self.clients.read(now, key);
+        self.handle_client_events(now, events);
+        let max_input_bytes = self.config.max_client_input();
+        let disconnected = self.clients.limit_input(max_input_bytes);
+        self.handle_client_events(now, disconnected);
+    }
+
     /// Passes requests to the routing. Disconnections are collected for [`Server::cancel_disconnected`].
     pub(super) fn handle_client_events(&mut self, now: Timestamp, events: Vec<ClientEvent>) {
         for event in events {
--- a/front/src/transport/stream.rs
+++ b/front/src/transport/stream.rs
@@ -61,6 +61,8 @@
     accepted_bytes: u64,
     /// The value of `buffered_bytes` that a total over connections currently includes.
     counted: usize,
+    /// The capacity of the input buffer that a total over connections currently includes.
+    counted_input: usize,
     interest: Interest,
     tls: Option<Box<Tls>>,
 }
@@ -102,6 +104,7 @@
             output_len: 0,
             accepted_bytes: 0,
             counted: 0,
+            counted_input: 0,
             interest: Interest {
                 read: true,
                 write: false,
@@ -195,6 +198,18 @@
         *total -= std::mem::take(&mut self.counted);
     }
 
+    /// Updates a total over connections with the memory that the input buffer of this one occupies. A growing buffer has up to twice
+    /// the capacity of its content.
+    pub fn update_input_total(&mut self, total: &mut usize) {
+        let capacity = self.input.capacity();
+        *total = *total - std::mem::replace(&mut self.counted_input, capacity) + capacity;
+    }
+
+    /// Subtracts the input buffer of this connection from a total over connections.
+    pub fn remove_from_input_total(&mut self, total: &mut usize) {
+        *total -= std::mem::take(&mut self.counted_input);
+    }
+
     /// Returns the number of messages that are not completely written.
     pub fn unsent_messages(&self) -> usize {
         self.output.len()
