--- a/front/src/server/downstream/tests.rs
+++ b/front/src/server/downstream/tests.rs
@@ -342,9 +342,12 @@
         harness.clients.limit_input(MAX_INPUT_BYTES);
         assert!(harness.clients.input_bytes <= MAX_INPUT_BYTES);
     }
-    let kept = |key: usize| harness.clients.has_connection(key);
-    assert!(kept(1), "the client with an open request");
-    assert!(kept(2) && !kept(1 + BAD_CLIENTS), "the longest goes first");
+    let is_connected = |key: usize| harness.clients.has_connection(key);
+    assert!(is_connected(1), "the client with an open request");
+    assert!(
+        is_connected(2) && !is_connected(1 + BAD_CLIENTS),
+        "the longest goes first"
+    );
     let events = harness.clients.limit_input(0);
     assert!(matches!(events[..], [ClientEvent::Disconnected(_)]));
     assert_eq!(harness.clients.input_bytes, 0, "released on every way out");
--- a/tests/purge_routes.rs
+++ b/tests/purge_routes.rs
@@ -43,7 +43,7 @@
 
 const OUTAGES: [Outage; 3] = [Outage::Cordoned, Outage::Draining, Outage::Removed];
 
-fn take_out(harness: &mut RouterHarness, outage: Outage, id: u64, kind: u8) {
+fn exclude(harness: &mut RouterHarness, outage: Outage, id: u64, kind: u8) {
     let with_state = |state| {
         let changed = EndpointEntry {
             state,
@@ -61,9 +61,9 @@
     });
 }
 
-fn take_out_caches(harness: &mut RouterHarness, outage: Outage) {
+fn exclude_caches(harness: &mut RouterHarness, outage: Outage) {
     for id in CACHE_IDS {
-        take_out(harness, outage, id, CACHE);
+        exclude(harness, outage, id, CACHE);
     }
 }
 
@@ -119,9 +119,9 @@
             // The caches are full, or none of them is usable.
             for caches_usable in [true, false] {
                 let mut harness = harness(CACHE, 0);
-                take_out(&mut harness, outage, ORIGIN_ID, ORIGIN);
+                exclude(&mut harness, outage, ORIGIN_ID, ORIGIN);
                 if !caches_usable {
-                    take_out_caches(&mut harness, outage);
+                    exclude_caches(&mut harness, outage);
                 }
                 purge_group(&mut harness, age);
                 let sent = request_purged(&mut harness, 1..60);
@@ -153,7 +153,7 @@
             let mut harness = harness(small, grace);
             for id in absent {
                 let kind = [CACHE, PARENT, ORIGIN][*id as usize / 10 - 1];
-                take_out(&mut harness, Outage::Cordoned, *id, kind);
+                exclude(&mut harness, Outage::Cordoned, *id, kind);
             }
             purge_group(&mut harness, 370 * MS);
             let mut sent = Vec::new();
@@ -182,12 +182,12 @@
 
 // Guards against a request that uses up its attempts, and is rejected, at a parent that cannot fill its miss.
 #[test]
-fn a_parent_that_has_no_copy_and_no_origin_is_asked_once() {
+fn a_parent_that_cannot_fill_its_miss_gets_one_attempt_of_a_request() {
     for caches_usable in [true, false] {
         let mut harness = harness(CACHE, 0);
-        take_out(&mut harness, Outage::Cordoned, ORIGIN_ID, ORIGIN);
+        exclude(&mut harness, Outage::Cordoned, ORIGIN_ID, ORIGIN);
         if !caches_usable {
-            take_out_caches(&mut harness, Outage::Cordoned);
+            exclude_caches(&mut harness, Outage::Cordoned);
         }
         let sent = request_purged(&mut harness, 1..60);
         let direct = sent
