--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,57 +1,47 @@
-"""A certificate that is still valid, and its key, are lost by a restart while the authority refuses one of its names."""
+"""A spoilt answer makes the front write a frame that no client can read, and all else on that connection is lost."""
 import os
-import signal
+import random
 import sys
 import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "rig-2"))
 from rig import *  # noqa: E402,F403
-import acme  # noqa: E402
+
+SPOILT_BYTES = 262144  # an object has 240,000 at most
+OTHERS = 8
 
 
 def case(record, fronts, folder):
-    # Valid from 60 s before it is issued: renewed at about 15 s, at the latest at 48 s, ends at 60 s.
-    authority = acme.Authority(record, fronts, folder, 60)
-    feed, port = acme.deployment(record), free_port()
-    front = acme.start(record, fronts, folder, feed, port, "front", authority)
-    first = acme.until_covered(record, authority, 10)
-    if TROUBLE:
-        authority.faults(refuse=[acme.REFUSED])
-    until = first["ends"] - 9.5
-    renewed = None
-    while time.time() < until and renewed is None:
-        time.sleep(0.5)
-        found = acme.certificate(record, authority, acme.KEPT)
-        if isinstance(found, dict) and found["serial"] != first["serial"]:
-            renewed = found
-    if renewed is None:
-        raise CannotRun("the certificate is not renewed")
-    time.sleep(0.5)
-    before = acme.certificate(record, authority, acme.REFUSED)
-    if not isinstance(before, dict):
-        return ["clients of %s are not served although their certificate is valid: %s" % (acme.REFUSED, before)]
-    if TROUBLE:
-        front.signal(signal.SIGKILL)
-        front.process.wait()
-        feed.restart()
-        feed.members(feed_members(front), True)
-        front = acme.start(record, fronts, folder, feed, port, "front-again", authority)
-    after = acme.certificate(record, authority, acme.REFUSED)
-    left = before["ends"] - time.time()
-    record("the certificate that was served for %s before is valid for %.1f s more" % (acme.REFUSED, left))
-    if left < 1:
-        raise CannotRun("the certificate ended meanwhile")
-    if not isinstance(after, dict):
-        return ["after a restart clients of %s get no certificate, though the old one is valid for %.1f s more: %s" %
-                (acme.REFUSED, left, after)]
-    return []
+    feed, spoilt = Feed(record, settings()), set()
 
+    def answer(node, command):
+        if command["fields"].get("item") in spoilt:
+            # A good answer whose length does not fit: noise keeps coming up to it.
+            return hit(os.urandom(SPOILT_BYTES) if TROUBLE else b"o" * 240000, 0.1)
+        return hit(b"o" * 1000, 0.6)
 
-def feed_members(front):
-    import json
-    with open(front.config_path) as f:
-        return json.load(f)["known"]["events"][0]["members"]["instances"]
+    nodes = [Node(record, i, CACHE, "edge-1", 8, answer) for i in range(1, 4)]
+    nodes += [Node(record, 20, PARENT, "east-hub", 24, answer), Node(record, 30, ORIGIN, "east-hub", 1, answer)]
+    feed.members([instance(node) for node in nodes], True)
+    port = free_port()
+    front = Front(record, folder, config(port, feed), "front")
+    fronts.append(front)
+    front.wait_ready(port)
+    client = Client(record, port)
+    item = "%016x" % random.getrandbits(64)
+    spoilt.add(item)
+    client.request("car-video", item, 5000)
+    others = [client.request("car-video", "%016x" % random.getrandbits(64), 5000) for _ in range(OTHERS)]
+    time.sleep(6)
+    lost = [stream for stream in others if stream not in client.answers]
+    record("%d of %d other requests on the connection unanswered" % (len(lost), OTHERS))
+    if client.unreadable and lost:
+        return ["the front wrote a frame of length %d (5 to 262,144 are allowed): the connection can't be read on, and %d other "
+                "requests on it are lost" % (client.unreadable, len(lost))]
+    if lost:
+        return ["%d requests are lost" % len(lost)]
+    return []
 
 
 run(HERE, case)
--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -269,6 +269,7 @@
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.socket.connect(("127.0.0.1", port))
         self.sent, self.answers, self.told_to_leave, self.ended = {}, {}, False, None
+        self.unreadable = None
         self.stream = 0
         self.quiet = False
         self.lock = threading.Lock()
@@ -312,12 +313,17 @@
                         began, got = time.time(), 0
                 while len(buffer) >= 9:
                     length, kind, stream = struct.unpack(">IBI", buffer[:9])
+                    if not 5 <= length <= 262144:
+                        self.unreadable = length
+                        raise OSError("a frame of length %d can't be read: 5 to 262,144 are allowed" % length)
                     if len(buffer) < 4 + length:
                         break
                     payload, buffer = buffer[9:4 + length], buffer[4 + length:]
                     self.frame(kind, stream, payload)
         except OSError as error:
-            self.ended = (time.time(), "reset: %s" % error)
+            self.ended = (time.time(), str(error))
+            if self.unreadable:
+                self.socket.close()
         self.record("%s: connection ended, %s" % (self.name, self.ended[1]))
 
     def frame(self, kind, stream, payload):
