--- a/review/7/case.py
+++ b/review/7/case.py
@@ -11,6 +11,7 @@
 from rig import *  # noqa: E402,F403
 
 LIMIT_S = 0.55  # 500 ms, and 50 ms on sockets
+BINDING_S = 2  # "What the control feed tells becomes binding 2 s after the yes"
 
 
 class Copies:
@@ -41,19 +42,23 @@
     feed.members([instance(node) for node in nodes], True)
     # The platform holds the clients' socket. Both processes have the same settings, but for the operators' path.
     held = listener()
+    # "$TMPDIR is shared and is not emptied."
+    shared, yes_at = os.path.join(folder, "tmp"), []
+    os.mkdir(shared)
     port = held.getsockname()[1]
 
     def start(name):
         parts = {"control": {"path": os.path.join(folder, name + ".control")},
                  "purges": {"file": os.path.join(folder, "ledger")}}
         ops = "127.0.0.1:%d" % free_port()
-        front = Front(record, folder, config(port, feed, deployment=deployment), name, settings=parts, ops=ops, accept=held)
+        front = Front(record, folder, config(port, feed, deployment=deployment), name, settings=parts, ops=ops, accept=held, shared=shared)
         fronts.append(front)
         until = time.time() + 6
         while time.time() < until:
             try:
                 if ops_call(ops, "health").startswith("+OK"):
                     record("%s: says yes" % name)
+                    yes_at.append(time.time())
                     return front
             except OSError:
                 time.sleep(0.05)
@@ -88,10 +93,12 @@
         except subprocess.TimeoutExpired:
             old.signal(signal.SIGKILL)
     time.sleep(2)
+    asked_at = time.time()
     born = ask(item)
     record("the purge was accepted at %d; the copy served %.1f s later was given out at %d" %
            (purged_at, time.time() - purged_at / 1000, born))
-    if born < purged_at - 1000 and time.time() - purged_at / 1000 > LIMIT_S:
+    binding = max(purged_at / 1000, yes_at[-1] + BINDING_S) + LIMIT_S
+    if born < purged_at - 1000 and asked_at > binding:
         return ["object %s: %.1f s after its purge a copy from %.1f s before it was served" %
                 (item, time.time() - purged_at / 1000, (purged_at - born) / 1000)]
     return []
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -78,10 +78,11 @@
             feeds[number].members([instance(node) for node in nodes], True)
             start(number, name)
             time.sleep(4)
+    asked_at = time.time()
     born = ask(item)
     record("the purge was accepted at %d; the copy served %.1f s later was given out at %d" %
            (purged_at, time.time() - purged_at / 1000, born))
-    if born < purged_at - 1000 and time.time() - purged_at / 1000 > LIMIT_S:
+    if born < purged_at - 1000 and asked_at - purged_at / 1000 > LIMIT_S:
         return ["object %s: %.1f s after its purge a copy from %.1f s before it was served" %
                 (item, time.time() - purged_at / 1000, (purged_at - born) / 1000)]
     return []
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -18,8 +18,8 @@
     def answer(node, command):
         if command["fields"].get("item") in spoilt:
             # A good answer whose length does not fit: noise keeps coming up to it.
-            return hit(os.urandom(SPOILT_BYTES) if TROUBLE else b"o" * 240000, 0.1)
-        return hit(b"o" * 1000, 0.6)
+            return hit(os.urandom(SPOILT_BYTES) if TROUBLE else b"o" * 240000, 0.005)
+        return hit(b"o" * 1000, 0.05)
 
     nodes = [Node(record, i, CACHE, "edge-1", 8, answer) for i in range(1, 4)]
     nodes += [Node(record, 20, PARENT, "east-hub", 24, answer), Node(record, 30, ORIGIN, "east-hub", 1, answer)]
--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -367,14 +367,16 @@
 class Front:
     """A process of the front, started with `run` of the deploy file from the root of the repository."""
 
-    def __init__(self, record, folder, config, name="front", settings=None, ops=None, accept=None):
+    def __init__(self, record, folder, config, name="front", settings=None, ops=None, accept=None, shared=None):
         self.record, self.name = record, name
+        # "$TMPDIR, which is private, empty at each start"; in an upgrade it "is shared and is not emptied".
+        tmp = shared or tempfile.mkdtemp(prefix="tmp-", dir=folder)
         self.config_path = os.path.join(folder, name + ".json")
         with open(self.config_path, "w") as f:
             json.dump(config, f)
         self.log_path = os.path.join(folder, name + ".log")
         env = dict(os.environ, RELAY_CONFIG=self.config_path, RELAY_NAME=config["name"], RELAY_LISTEN=config["listen"],
-                   TMPDIR=folder)
+                   TMPDIR=tmp)
         if ops:
             env["RELAY_OPS"] = ops
         pass_fds = ()
@@ -484,12 +486,19 @@
         "tenants": [], "tiers": ["edge-cache"], "weightSource": "nominal", "zone": 1, "zones": ["east-hub", "edge-1"]}
 
 
+PEERS = []  # "an address per front of the tier, its own included"
+
+
 def config(port, feed, memory_mb=64, sockets=512, name="n1", ops=None, deployment=None):
+    deployment = deployment or settings()
+    while len(PEERS) <= deployment["nInstances"]:
+        PEERS.append("127.0.0.1:%d" % free_port())
+    peers = PEERS[1:deployment["nInstances"] + 1]
     found = {"name": name, "listen": "127.0.0.1:%d" % port, "seed": os.urandom(8).hex(),
              "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets},
-             "peer_listen": "127.0.0.1:7946", "peers": ["127.0.0.1:7946"], "peers_all": "127.0.0.1:7947",
+             "peer_listen": peers[deployment["index"]], "peers": peers, "peers_all": PEERS[0],
              "feed": "127.0.0.1:%d" % feed.port, "flow_bytes_per_s": 6800000, "link_bytes_per_s": 82000000,
-             "known": feed.known(), "settings": deployment or settings()}
+             "known": feed.known(), "settings": deployment}
     if ops:
         found["ops"] = ops
     return found
