Count the bodies of pending requests against the memory limit

Cause: a body is retained until the final response, since a retry sends it again, and was in no account: it had left the client's input buffer when its frame was decoded and the node's output buffer when it was written. Admission reserves a response of average size for each pending request, which is little after small responses. The unit tests use what is new and could not run before. Change: bodies are counted in total and by client, added at admission and subtracted in remove_pending, which every outcome passes. They may take up an eighth of the memory and count against the half for requests. A request whose body does not fit is rejected with a retry-after, others are not; a client that has bodies must leave as much free as it occupies. So the memory is bounded where it is taken. The log line of a rejection and `ctl status` name the new limit and its use. The same elsewhere: requests that are held back after a half-close were in no account; they count against the limit on input. Not covered: incomplete replies of nodes.

--- a/front/src/routing/admission.rs
+++ b/front/src/routing/admission.rs
@@ -1,10 +1,32 @@
 //! Admission: rejects requests that would exceed the memory limits of the front.
 use super::*;
 use cranesill::api::{Event, Request};
+use std::fmt;
 
 /// Time that the router has to respond after the deadline of a request. It is part of the response margin of ingress.
 const ROUTER_GRACE: Micros = 2_000;
 
+/// Why a request is rejected before it reaches the router.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RejectionReason {
+    /// The front is drained or shutting down.
+    NotAccepting,
+    /// There are too many pending requests, or responses to them would not fit into the memory.
+    CapacityLimit,
+    /// The body of the request would not fit into the memory for the bodies of pending requests.
+    BodyMemoryLimit,
+}
+
+impl fmt::Display for RejectionReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            RejectionReason::NotAccepting => "not accepting requests",
+            RejectionReason::CapacityLimit => "capacity limit reached",
+            RejectionReason::BodyMemoryLimit => "memory limit of request bodies reached",
+        })
+    }
+}
+
 impl RequestPipeline {
     /// Passes a request to the router, or rejects or fails it at once.
     pub(super) fn admit(&mut self, now: Timestamp, pending: PendingRequest, request: Request) {
@@ -16,14 +38,8 @@
         {
             return self.respond_to(&pending, Response::Failed);
         }
-        if let Some(reason) = self.rejection_reason() {
-            let line = format!(
-                "request rejected: {reason}: {} of {} requests pending, {} of {} bytes buffered",
-                self.pending.len(),
-                self.capacity.max_pending,
-                self.buffered_bytes,
-                self.capacity.max_buffered_bytes
-            );
+        if let Some(reason) = self.rejection_reason(&pending) {
+            let line = self.rejection_line(reason);
             self.commands.push_back(Command::Log(line));
             let response = Response::Rejected(self.overload_retry_after());
             return self.respond_to(&pending, response);
@@ -36,20 +52,49 @@
             at: pending.deadline + ROUTER_GRACE,
             timer: Timer::RequestDeadline(id),
         });
+        self.bodies
+            .charge(reply_to.client, pending.request.body.len());
         self.pending.insert(id, pending);
         self.handle_event(now, Event::Request(request));
     }
 
     /// Returns why a new request has to be rejected; `None` if it can be admitted.
-    fn rejection_reason(&self) -> Option<&'static str> {
+    fn rejection_reason(&self, request: &PendingRequest) -> Option<RejectionReason> {
         if self.rejecting {
-            return Some("not accepting requests");
+            return Some(RejectionReason::NotAccepting);
         }
+        if self.is_at_capacity(request) {
+            return Some(RejectionReason::CapacityLimit);
+        }
+        let body_bytes = request.request.body.len();
+        let client = request.reply_to.client;
+        let limit = self.capacity.max_body_bytes;
+        let has_memory = self.bodies.admits(client, body_bytes, limit);
+        (!has_memory).then_some(RejectionReason::BodyMemoryLimit)
+    }
+
+    /// Whether another request would exceed the limit on pending requests or on the memory for them and their responses.
+    fn is_at_capacity(&self, request: &PendingRequest) -> bool {
         // Memory is reserved for a response of average size to each pending request; reserving the maximum size would reject
         // far too many. Larger responses are handled by backpressure: reading from endpoints is paused.
         let expected = (self.pending.len() as f64 * self.average_response_bytes) as usize;
-        let full = self.pending.len() >= self.capacity.max_pending
-            || self.buffered_bytes + expected > self.capacity.max_buffered_bytes;
-        full.then_some("capacity limit reached")
+        // A body is retained until the final response, because a retry sends it again. While it is being written upstream it is
+        // also part of the buffered bytes, and counted twice.
+        let bodies = self.bodies.total() + request.request.body.len();
+        self.pending.len() >= self.capacity.max_pending
+            || self.buffered_bytes + expected + bodies > self.capacity.max_buffered_bytes
+    }
+
+    /// Returns the log line on a rejected request, with the usage of each limit.
+    fn rejection_line(&self, reason: RejectionReason) -> String {
+        format!(
+            "request rejected: {reason}: {} of {} requests pending, {} of {} bytes buffered, {} of {} bytes of request bodies",
+            self.pending.len(),
+            self.capacity.max_pending,
+            self.buffered_bytes,
+            self.capacity.max_buffered_bytes,
+            self.bodies.total(),
+            self.capacity.max_body_bytes
+        )
     }
 }
--- a/front/src/routing/mod.rs
+++ b/front/src/routing/mod.rs
@@ -2,6 +2,7 @@
 //! consists of requests, replies and events, the output of commands. The pipeline is independent of wire formats and sockets.
 mod accounting;
 mod admission;
+mod body_memory;
 mod clock_offset;
 mod dispatch;
 mod ingress;
@@ -12,6 +13,7 @@
 mod tests;
 mod types;
 
+use body_memory::BodyMemory;
 pub use clock_offset::ClockOffset;
 pub use purge_floors::{Freshness, PurgeFloors};
 pub use types::*;
@@ -53,8 +55,10 @@
 pub struct CapacityLimits {
     /// Maximum number of pending requests.
     pub max_pending: usize,
-    /// Maximum number of buffered response bytes.
+    /// Maximum number of bytes that are buffered, expected as responses, or occupied by the bodies of pending requests.
     pub max_buffered_bytes: usize,
+    /// Maximum number of bytes that the bodies of pending requests occupy.
+    pub max_body_bytes: usize,
 }
 
 /// Initial value of the moving average of response sizes, in bytes.
@@ -72,6 +76,8 @@
     outstanding: HashMap<AttemptId, OutstandingAttempt>,
     /// Bytes in the buffers of connections, as last reported by the server.
     buffered_bytes: usize,
+    /// Memory occupied by the bodies of pending requests.
+    bodies: BodyMemory,
     /// Moving average of response sizes.
     average_response_bytes: f64,
     last_request_id: u64,
@@ -107,6 +113,7 @@
             by_transaction: HashMap::new(),
             outstanding: HashMap::new(),
             buffered_bytes: 0,
+            bodies: BodyMemory::default(),
             average_response_bytes: INITIAL_RESPONSE_BYTES,
             last_request_id: 0,
             actions: Vec::new(),
@@ -127,6 +134,11 @@
         self.pending.len()
     }
 
+    /// Returns the memory occupied by the bodies of pending requests.
+    pub fn body_bytes(&self) -> usize {
+        self.bodies.total()
+    }
+
     /// Sets the number of bytes in the buffers of connections, which count against the memory limit at admission.
     pub fn set_buffered_bytes(&mut self, bytes: usize) {
         self.buffered_bytes = bytes;
--- a/front/src/routing/relay.rs
+++ b/front/src/routing/relay.rs
@@ -61,6 +61,8 @@
         let pending = self.pending.remove(&id)?;
         self.by_reply_to.remove(&pending.reply_to);
         self.by_transaction.remove(&pending.request.transaction);
+        self.bodies
+            .release(pending.reply_to.client, pending.request.body.len());
         Some(pending)
     }
 }
--- a/front/src/routing/tests.rs
+++ b/front/src/routing/tests.rs
@@ -79,6 +79,7 @@
     let mut pipeline = pipeline_with_origin(CapacityLimits {
         max_pending: 5_000,
         max_buffered_bytes: 96 << 20,
+        max_body_bytes: 12 << 20,
     });
     for n in 1..=1_000 {
         let (from, request) = client_request(n);
@@ -94,11 +95,86 @@
     assert_eq!(take_responses(&mut pipeline), [Response::Rejected(500_000)]);
 }
 
+// Guards against bodies of pending requests that are in no account: bad clients drove the front over its memory limit.
+#[test]
+fn bodies_of_pending_requests_stay_within_their_limit_and_are_released_with_each_outcome() {
+    const BODY_BYTES: usize = 48_000;
+    const CLIENTS: usize = 60;
+    const REQUESTS_PER_CLIENT: usize = 32;
+    let limit = 4 << 20;
+    let mut pipeline = pipeline_with_origin(CapacityLimits {
+        max_pending: 20_000,
+        max_buffered_bytes: 16 << 20,
+        max_body_bytes: limit,
+    });
+    let write = |n: usize, client: usize| {
+        let (from, request) = client_request(n as u64);
+        let body = vec![b'b'; BODY_BYTES].as_slice().into();
+        (
+            ReplyTo { client, ..from },
+            ClientRequest { body, ..request },
+        )
+    };
+    let mut outstanding = Vec::new();
+    let mut open = Vec::new();
+    let mut rejected = 0;
+    for n in 0..CLIENTS * REQUESTS_PER_CLIENT {
+        let (from, request) = write(n, n % CLIENTS);
+        pipeline.receive_request(SECOND, from, request);
+        for command in take_commands(&mut pipeline) {
+            match command {
+                Command::Send { attempt, .. } => {
+                    outstanding.push(attempt);
+                    open.push(from);
+                }
+                Command::Respond { response, .. } => {
+                    assert_eq!(response, Response::Rejected(500_000));
+                    rejected += 1;
+                }
+                _ => {}
+            }
+        }
+        assert!(pipeline.body_bytes() <= limit);
+    }
+    assert!(rejected > 0 && outstanding.len() >= CLIENTS);
+    // A client without a body is admitted, and so is the first body of another one.
+    let (from, without_body) = client_request(90_001);
+    let without_body = ClientRequest {
+        body: Rc::default(),
+        ..without_body
+    };
+    pipeline.receive_request(
+        SECOND,
+        ReplyTo {
+            client: 901,
+            ..from
+        },
+        without_body,
+    );
+    let (from, request) = write(90_002, 902);
+    pipeline.receive_request(SECOND, from, request);
+    assert!(take_responses(&mut pipeline).is_empty());
+    // Each way out releases the memory: a cancellation, a final response, the deadline, and the end of the process.
+    pipeline.cancel_request(SECOND, open[0]);
+    let served = AttemptEnd::Reply(UpstreamReply {
+        kind: ReplyKind::Hit,
+        ..UpstreamReply::default()
+    });
+    pipeline.attempt_ended(SECOND, outstanding[1], served);
+    let deadline = Timer::RequestDeadline(outstanding[2].request);
+    pipeline.handle_timer(4 * SECOND, deadline);
+    let bodies = pipeline.body_bytes() / BODY_BYTES;
+    assert_eq!(bodies, outstanding.len() + 1 - 3);
+    pipeline.conclude_all(4 * SECOND);
+    assert_eq!((pipeline.pending_requests(), pipeline.body_bytes()), (0, 0));
+}
+
 #[test]
 fn an_excessive_client_time_limit_is_capped_at_that_of_the_class() {
     let mut pipeline = pipeline_with_origin(CapacityLimits {
         max_pending: 10,
         max_buffered_bytes: 96 << 20,
+        max_body_bytes: 12 << 20,
     });
     let (from, first) = client_request(1);
     pipeline.receive_request(
@@ -125,6 +201,7 @@
     let mut pipeline = new_pipeline(CapacityLimits {
         max_pending: 1_000,
         max_buffered_bytes: 96 << 20,
+        max_body_bytes: 12 << 20,
     });
     let state = cranesill::api::EndpointState::Ready;
     let (endpoint, weight) = (EndpointId(1), 0.2);
@@ -204,6 +281,7 @@
         CapacityLimits {
             max_pending: 10,
             max_buffered_bytes: 16 << 20,
+            max_body_bytes: 12 << 20,
         },
     );
     for event in known {
@@ -278,6 +356,7 @@
     let mut pipeline = pipeline_with_origin(CapacityLimits {
         max_pending: 10,
         max_buffered_bytes: 96 << 20,
+        max_body_bytes: 12 << 20,
     });
     let (from, first) = client_request(1);
     pipeline.receive_request(SECOND, from, first.clone());
@@ -321,6 +400,7 @@
     let mut pipeline = pipeline_with_origin(CapacityLimits {
         max_pending: 10,
         max_buffered_bytes: 96 << 20,
+        max_body_bytes: 12 << 20,
     });
     let (from, request) = client_request(1);
     pipeline.receive_request(SECOND, from, request);
@@ -342,6 +422,7 @@
     let mut pipeline = new_pipeline(CapacityLimits {
         max_pending: 10_000,
         max_buffered_bytes: 1 << 30,
+        max_body_bytes: 12 << 20,
     });
     let state = cranesill::api::EndpointState::Ready;
     let entry = |id, kind, zone| {
@@ -419,6 +500,7 @@
     let mut pipeline = pipeline_with_origin(CapacityLimits {
         max_pending: 40,
         max_buffered_bytes: 96 << 20,
+        max_body_bytes: 12 << 20,
     });
     let (mut accepted, mut now, mut rng) = (0u64, SECOND, 7u64);
     let mut random = |n: u64| {
@@ -520,6 +602,7 @@
         let mut pipeline = new_pipeline(CapacityLimits {
             max_pending: 1_000,
             max_buffered_bytes: 96 << 20,
+            max_body_bytes: 12 << 20,
         });
         let state = cranesill::api::EndpointState::Ready;
         let entry = |id, kind, zone| {
--- a/front/src/server/config.rs
+++ b/front/src/server/config.rs
@@ -127,11 +127,12 @@
     }
 
     /// Returns the capacity for requests, which may use half of the memory; the rest is left to input buffers, the program and the
-    /// allocator.
+    /// allocator. Request bodies may use an eighth, so that requests without a body are admitted beside them.
     pub fn capacity_limits(&self) -> CapacityLimits {
         CapacityLimits {
             max_pending: self.deployment.limits.max_open_requests,
             max_buffered_bytes: self.memory / 2 / self.processes(),
+            max_body_bytes: self.memory / 8 / self.processes(),
         }
     }
 
--- a/front/src/server/downstream/eviction.rs
+++ b/front/src/server/downstream/eviction.rs
@@ -41,13 +41,17 @@
         disconnected
     }
 
-    /// Closes the connections with the longest incomplete frames while the input buffers of all occupy more than `max_input_bytes`, and
-    /// returns their events. Called after each read: many clients that send at once exceed the limit long before the next sweep.
+    /// Closes the connections with the longest input while what clients have sent and the routing has not received occupies more than
+    /// `max_input_bytes`: incomplete frames, and bodies of requests that are held back. Returns the events of the closed connections.
+    /// Called after each read: many clients that send at once exceed the limit long before the next sweep.
     pub fn limit_input(&mut self, max_input_bytes: usize) -> Vec<ClientEvent> {
         let mut disconnected = Vec::new();
-        while self.input_bytes > max_input_bytes {
+        while self.input_bytes + self.unconfirmed.body_bytes() > max_input_bytes {
             let connections = self.connections.iter();
-            let longest = connections.max_by_key(|(key, c)| (c.stream.input().len(), **key));
+            let longest = connections.max_by_key(|(key, connection)| {
+                let held_back = self.unconfirmed.body_bytes_of(**key);
+                (connection.stream.input().len() + held_back, **key)
+            });
             let Some(key) = longest.map(|(key, _)| *key) else {
                 break;
             };
--- a/front/src/server/downstream/tests.rs
+++ b/front/src/server/downstream/tests.rs
@@ -352,3 +352,33 @@
     assert!(matches!(events[..], [ClientEvent::Disconnected(_)]));
     assert_eq!(harness.clients.input_bytes, 0, "released on every way out");
 }
+
+// Guards against bodies of held-back requests that are in no account: clients that close their write side could exceed the limit.
+#[test]
+fn held_back_requests_count_against_the_limit_on_input() {
+    const BODY_BYTES: usize = 8_000;
+    const HELD_CLIENTS: usize = 4;
+    let fields = &REQUEST[9..];
+    let frame_bytes = (5 + fields.len() + BODY_BYTES) as u32;
+    let head = [&frame_bytes.to_be_bytes()[..], &REQUEST[4..]].concat();
+    let request = [head, vec![b'b'; BODY_BYTES]].concat();
+    let mut harness = Harness::new();
+    let mut sockets = Vec::new();
+    for key in 1..=HELD_CLIENTS {
+        let socket = harness.client(0, key);
+        (&socket).write_all(&request).unwrap();
+        socket.shutdown(std::net::Shutdown::Write).unwrap();
+        assert!(harness.becomes_readable(20_000_000));
+        assert!(harness.clients.read(1, key).is_empty(), "held back");
+        sockets.push(socket);
+    }
+    let held_bytes = |harness: &Harness| harness.clients.unconfirmed.body_bytes();
+    assert_eq!(held_bytes(&harness), HELD_CLIENTS * BODY_BYTES);
+    let limit = harness.clients.input_bytes + 2 * BODY_BYTES;
+    let events = harness.clients.limit_input(limit);
+    assert_eq!(events.len(), HELD_CLIENTS - 2, "one request each");
+    assert_eq!(held_bytes(&harness), 2 * BODY_BYTES);
+    let due_at = harness.clients.next_deadline().unwrap();
+    assert_eq!(harness.clients.poll(due_at).len(), 2);
+    assert_eq!(held_bytes(&harness), 0, "released on every way out");
+}
--- a/front/src/server/event_loop/admin.rs
+++ b/front/src/server/event_loop/admin.rs
@@ -137,6 +137,8 @@
             "clients_most": self.config.max_clients(),
             "held_bytes": self.clients.buffered_bytes() + self.upstream.buffered_bytes(),
             "held_bytes_most": self.config.max_client_buffers(),
+            "body_bytes": self.pipeline.body_bytes(),
+            "body_bytes_most": self.config.capacity_limits().max_body_bytes,
             "settings": self.settings_file,
             "purges": self.purge_status(),
         })
