Free large input buffers instead of shrinking them in place

Callers would lose their requests on a front with 16 MB (the least that it starts with) beside 330 clients that send writes with full bodies: with bodies and input inside their limits, 2 and 4 MB, the front was still killed at 16,468 KB. With 32 MB it came to 28,388 KB. Cause: Stream::consume shrank an emptied buffer to 4 KB. The allocator does so in place, so that a block of up to 64 KB is split and no later message of that size fits into what is left; each took fresh memory. Change: an emptied buffer of more than 4 KB is freed as a whole; shorter ones are kept as before. The same elsewhere: connections to nodes, followers and peers use the same code; no other buffer is shrunk.

--- a/front/src/transport/stream.rs
+++ b/front/src/transport/stream.rs
@@ -175,8 +175,11 @@
         if self.consumed == self.input.len() {
             self.consumed = 0;
             self.input.clear();
-            // Otherwise each connection would retain the capacity of its largest message, which could exceed the memory limit.
-            self.input.shrink_to(MAX_IDLE_CAPACITY_BYTES);
+            // Otherwise each connection would retain the capacity of its largest message, which could exceed the memory limit. A
+            // buffer that is shrunk in place would split a large block of memory, which no other message fits into afterwards.
+            if self.input.capacity() > MAX_IDLE_CAPACITY_BYTES {
+                self.input = Vec::new();
+            }
         }
     }
 
