Count everything as purged when a log from the writer is reset, even an empty one

Callers of a follower could get copies from before an acknowledged purge: the follower out of contact, a purge at the writer, a restart of the writer, which has no file; back in contact the follower took nothing for purged. Cause: reset_log counted everything as purged only if the discarded log had purges. One that a writer has sent may lack some. Change: only this front's own log without purges loses none. Whether a writer has sent the log is known in memory, and after a restart from its purges or from the note on missing ones. docs/protocol.md has said so of every follower that is told to begin anew.

--- a/front/src/server/drivers/purges/following.rs
+++ b/front/src/server/drivers/purges/following.rs
@@ -18,10 +18,11 @@
         }
     }
 
-    /// Replaces the log by an empty one. Purges that the writer has compacted are older than any copy. If the replaced log
-    /// had purges, the writer may lack some of them, so all copies count as purged, also after a restart of this front.
+    /// Replaces the log by an empty one. Purges that the writer has compacted are older than any copy. Purges of the replaced log
+    /// may be unknown to the writer, also ones that never arrived here, so all copies count as purged, also after a restart of
+    /// this front.
     fn reset_log(&mut self, turn: &mut Turn<'_>, frame: &Frame) {
-        let lost = self.log.last_number() > 0;
+        let lost = self.may_have_had_purges();
         tracing::warn!(
             kind = "anew",
             base = frame.base,
@@ -30,6 +31,7 @@
         );
         let missing_before = self.log.purged_up_to();
         self.log = PurgeLog::after(frame.log_identity, frame.base);
+        self.log_is_from_writer = true;
         self.log.record_missing(missing_before);
         if lost {
             let up_to = purge_timestamp(turn);
@@ -41,6 +43,11 @@
         self.rewrite_journal(turn);
     }
 
+    /// Whether the log has or may lack purges: only this front's own log without any has lost none.
+    fn may_have_had_purges(&self) -> bool {
+        self.log_is_from_writer || self.log.last_number() > 0 || self.log.purged_up_to() > 0
+    }
+
     /// Applies a batch. Returns `false` if it is invalid and the connection was closed.
     fn apply_batch(&mut self, turn: &mut Turn<'_>, frame: Frame) -> bool {
         let last_sent = frame.purges.last().map(|purge| purge.number);
@@ -61,6 +68,7 @@
             writer.confirm_when_durable(number);
             writer.confirm_durable(turn.now, self.durable.number);
         }
+        self.log_is_from_writer |= frame.log_identity == self.log.identity;
         if frame.log_identity == self.log.identity && frame.head == self.log.last_number() {
             turn.effects.push(Effect::Purges(PurgeEffect::Contact));
         }
--- a/front/src/server/drivers/purges/mod.rs
+++ b/front/src/server/drivers/purges/mod.rs
@@ -49,6 +49,8 @@
     followers: Option<Followers>,
     /// Link to the writer, if this front is a follower.
     writer: Option<WriterLink>,
+    /// Whether a writer has sent this log since the start, so that it may have accepted further purges.
+    log_is_from_writer: bool,
     confirmation_waits: Vec<ConfirmationWait>,
     next_sweep: Timestamp,
     now: Timestamp,
@@ -155,6 +157,7 @@
             cache_nodes,
             followers,
             writer,
+            log_is_from_writer: false,
             confirmation_waits: Vec::new(),
             next_sweep: turn.now + SWEEP_INTERVAL,
             now: turn.now,
--- a/front/src/server/drivers/purges/tests.rs
+++ b/front/src/server/drivers/purges/tests.rs
@@ -22,6 +22,8 @@
     purges: Purges,
     /// Time up to which everything counted as purged when the purge floors were enabled.
     purged_up_to: Option<UnixMillis>,
+    /// Times up to which everything counted as purged since then.
+    all_purged: Vec<UnixMillis>,
     keys: PollerKeys,
     now: Timestamp,
     writer: TcpListener,
@@ -73,6 +75,7 @@
             reactor,
             purges,
             purged_up_to: enabled.expect("purges are enabled"),
+            all_purged: Vec::new(),
             keys,
             now,
             writer,
@@ -98,6 +101,11 @@
                     .ready(&mut turn, event.key, event.readable, event.writable);
             }
             self.purges.due(&mut turn);
+            let all_purged = effects.iter().filter_map(|effect| match effect {
+                Effect::Purges(PurgeEffect::AllPurged { up_to }) => Some(*up_to),
+                _ => None,
+            });
+            self.all_purged.extend(all_purged);
             if let Some(value) = condition(&self.purges) {
                 return value;
             }
@@ -296,6 +304,38 @@
     }
 }
 
+// Guards against a purge that the writer accepted while the follower was out of contact, and lost with its log.
+#[test]
+fn a_reset_counts_everything_as_purged_though_the_log_had_no_purge() {
+    let mut follower = TestFollower::new();
+    let path = follower.folder.path().join("purges");
+    journal::rewrite(&mut DiskFile::new(path), &PurgeLog::new(LOG)).unwrap();
+    follower = follower.restart();
+    // The first contact with the writer of a log of its own, from which nothing is missing.
+    let (mut socket, _) = follower.hello();
+    socket.write_all(&reset(LOG + 1)).unwrap();
+    follower.until(|purges| (purges.log.identity == LOG + 1).then_some(()));
+    assert!(follower.all_purged.is_empty());
+    follower.now += 10 * SECOND;
+    let reset_at_ms = unix_ms(follower.now);
+    socket.write_all(&reset(LOG + 2)).unwrap();
+    follower.until(|purges| (purges.log.identity == LOG + 2).then_some(()));
+    assert_eq!(follower.all_purged, [reset_at_ms]);
+    // The same after a restart, which knows of the log only what is on disk.
+    follower.until(|purges| {
+        (purges.journal.file()?.try_lock().ok()?.read().ok()??.len() > 28).then_some(())
+    });
+    follower = follower.restart();
+    assert_eq!(follower.purged_up_to, Some(reset_at_ms));
+    let (mut socket, hello) = follower.hello();
+    assert_eq!((hello.log_identity, hello.last), (LOG + 2, 0));
+    follower.now += 10 * SECOND;
+    let reset_at_ms = unix_ms(follower.now);
+    socket.write_all(&reset(LOG + 3)).unwrap();
+    follower.until(|purges| (purges.log.identity == LOG + 3).then_some(()));
+    assert_eq!(follower.all_purged, [reset_at_ms]);
+}
+
 /// A journal in memory.
 #[derive(Default)]
 struct Memory(Vec<u8>);
