Do not write a response that is too long for a frame to a client

Replies of 240,001 to 262,137 bytes, longer than an object may be, were served. Cause: the decoder of replies allowed an object the length of a whole frame; the answer adds 7 bytes, and its encoder checked no limit. The client of all tests checks each length now. Change: an object has at most 240,000 bytes, by the protocol. A longer length ends the connection to the node before the object is received, as other malformed replies do, and its attempts are retried. The encoder returns an error for a body that does not fit; that request alone is answered as failed, with a line in the log. The log line on a lost connection names what was malformed, which it did not. A test is changed: reading_stops_while_a_client_leaves_too_many_responses_unread queued responses of 1 MiB, which are not written any more. It uses 240,000 bytes, the longest that there are; its check is the same.

--- a/front/src/protocol/bulk_strings.rs
+++ b/front/src/protocol/bulk_strings.rs
@@ -4,8 +4,10 @@
 
 /// Number of strings in a reply: the id, the name, the fields and the object.
 pub const REPLY_STRINGS: usize = 4;
-/// Maximum length of each string of a reply in bytes. The limit for objects is above the size of the largest one served.
-const MAX_STRING_BYTES: [usize; REPLY_STRINGS] = [16, 16, 4_096, 262_144];
+/// Maximum length of an object in bytes, by the protocol. An object up to this length fits into a frame to a client.
+pub const MAX_OBJECT_BYTES: usize = 240_000;
+/// Maximum length of each string of a reply in bytes.
+const MAX_STRING_BYTES: [usize; REPLY_STRINGS] = [16, 16, 4_096, MAX_OBJECT_BYTES];
 /// Maximum number of digits of a length.
 const MAX_LENGTH_DIGITS: usize = 7;
 /// Bytes of a length line in addition to the digits: the marker and the line end.
--- a/front/src/protocol/cache_node/tests.rs
+++ b/front/src/protocol/cache_node/tests.rs
@@ -90,3 +90,17 @@
         );
     }
 }
+
+// Guards against replies longer than the longest object, which do not fit into a frame to a client.
+#[test]
+fn a_reply_with_more_bytes_than_an_object_may_have_is_rejected_by_its_length() {
+    let reply = |length: usize| {
+        format!("*4\r\n$1\r\na\r\n$3\r\nHIT\r\n$13\r\nver=ab,born=5\r\n${length}\r\n").into_bytes()
+    };
+    let longest = [reply(240_000), vec![b'o'; 240_000], b"\r\n".to_vec()].concat();
+    let decoded = decode(&longest).unwrap().unwrap();
+    assert_eq!(decoded.reply.body.len(), 240_000);
+    for length in [240_001, 262_137, 262_138, 262_144, 3_000_000] {
+        assert!(decode(&reply(length)).is_err(), "{length} bytes");
+    }
+}
--- a/front/src/protocol/client.rs
+++ b/front/src/protocol/client.rs
@@ -4,6 +4,7 @@
 
 pub use request::{decode_request, RequestError};
 
+use super::bulk_strings::MAX_OBJECT_BYTES;
 use super::{Cursor, DecodeError};
 use crate::routing::Response;
 use crate::transport::Outgoing;
@@ -39,6 +40,12 @@
 const TYPE_AND_STREAM_BYTES: usize = 5;
 /// An empty field list: a count of 0.
 const NO_FIELDS: [u8; 1] = [0];
+/// Size of an answer in bytes without its body, if it has no fields: type, stream, status and an empty field list.
+const EMPTY_ANSWER_BYTES: usize = TYPE_AND_STREAM_BYTES + 1 + NO_FIELDS.len();
+/// Maximum length of the body of an answer in bytes. Clients cannot read a longer one, nor anything after it on the connection.
+const MAX_ANSWER_BODY_BYTES: usize = *FRAME_BYTES_RANGE.end() - EMPTY_ANSWER_BYTES;
+// Every object that an endpoint may reply with has to fit into an answer.
+const _: () = assert!(MAX_OBJECT_BYTES <= MAX_ANSWER_BODY_BYTES);
 const MICROS_PER_MS: u64 = 1_000;
 /// The first byte of the payload of a readiness frame.
 const READY: u8 = 1;
@@ -108,11 +115,22 @@
     payload
 }
 
+/// A response whose body does not fit into a frame.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("response body of {length} bytes does not fit into a frame; expected at most {MAX_ANSWER_BODY_BYTES}")]
+pub struct BodyTooLong {
+    /// Length of the body in bytes.
+    pub length: usize,
+}
+
 /// Encodes the final response on a stream. A rejection carries the time after which the client may retry, rounded up to
 /// milliseconds.
-pub fn answer(stream: u32, response: Response) -> Outgoing<()> {
+pub fn answer(stream: u32, response: Response) -> Result<Outgoing<()>, BodyTooLong> {
     let no_fields = NO_FIELDS.to_vec();
-    match response {
+    Ok(match response {
+        Response::Served(body) if body.len() > MAX_ANSWER_BODY_BYTES => {
+            return Err(BodyTooLong { length: body.len() });
+        }
         Response::Served(body) => answer_frame(stream, status::SERVED, no_fields, body),
         Response::NotModified => {
             let fields = field("same", "1");
@@ -123,8 +141,13 @@
             let fields = field("later", &retry_after.div_ceil(MICROS_PER_MS).to_string());
             answer_frame(stream, status::REJECTED, fields, Rc::default())
         }
-        Response::Failed => answer_frame(stream, status::FAILED, no_fields, Rc::default()),
-    }
+        Response::Failed => failure(stream),
+    })
+}
+
+/// Encodes the answer to a request that failed.
+pub fn failure(stream: u32) -> Outgoing<()> {
+    answer_frame(stream, status::FAILED, NO_FIELDS.to_vec(), Rc::default())
 }
 
 fn answer_frame(stream: u32, status: u8, fields: Vec<u8>, body: Rc<[u8]>) -> Outgoing<()> {
@@ -134,7 +157,7 @@
 
 /// Encodes a connection error: a failure on stream 0, which belongs to no request.
 pub fn error() -> Outgoing<()> {
-    answer(0, Response::Failed)
+    failure(0)
 }
 
 /// Encodes the answer to a readiness query.
--- a/front/src/protocol/client/tests.rs
+++ b/front/src/protocol/client/tests.rs
@@ -93,3 +93,20 @@
     assert!(decode_request(&request(&fields, &[7; 48_001])[9..]).is_err());
     insta::assert_debug_snapshot!(messages);
 }
+
+// Guards against a frame that no client can read: all other requests on its connection were lost with it.
+#[test]
+fn a_response_that_does_not_fit_into_a_frame_is_not_encoded() {
+    let served = |length: usize| Response::Served(vec![7; length].into());
+    let longest = answer(7, served(MAX_ANSWER_BODY_BYTES)).unwrap();
+    let length = u32::from_be_bytes(longest.head[..LENGTH_BYTES].try_into().unwrap());
+    assert_eq!(length, 262_144);
+    assert_eq!(
+        longest.head.len() + longest.body.len(),
+        LENGTH_BYTES + 262_144
+    );
+    for length in [MAX_ANSWER_BODY_BYTES + 1, 262_144, 300_000] {
+        let error = answer(7, served(length)).unwrap_err();
+        assert_eq!(error, BodyTooLong { length });
+    }
+}
--- a/front/src/server/downstream.rs
+++ b/front/src/server/downstream.rs
@@ -6,7 +6,7 @@
 
 use crate::protocol::client::{self, RequestError};
 use crate::routing::{ClientRequest, ReplyTo, Response};
-use crate::transport::{Reactor, Registered, Stream};
+use crate::transport::{Outgoing, Reactor, Registered, Stream};
 use connection::{Connection, ConnectionState, DrainNotice, READ_PAUSE_WITH_REQUESTS};
 use cranesill::api::{Micros, Timestamp};
 use rustls::ServerConnection;
@@ -276,7 +276,7 @@
             return;
         };
         if client.open_streams.remove(&to.stream) {
-            client.stream.push(client::answer(to.stream, response));
+            client.stream.push(encode_answer(to, response));
             client.deliver_by = client.deliver_by.max(deadline);
             self.flush(now, to.client);
         }
@@ -334,6 +334,20 @@
     }
 }
 
+/// Encodes the final response to a request. One that does not fit into a frame is replaced by a failure: the client could read neither
+/// it nor the responses to its other requests.
+fn encode_answer(to: ReplyTo, response: Response) -> Outgoing<()> {
+    client::answer(to.stream, response).unwrap_or_else(|error| {
+        tracing::warn!(
+            kind = "response-too-long",
+            stream = to.stream,
+            %error,
+            "cannot send a response to a client: answered as failed"
+        );
+        client::failure(to.stream)
+    })
+}
+
 /// Removes requests that are already cancelled, together with the events of their cancellation, so that they are not forwarded.
 fn remove_cancelled(events: &mut Vec<ClientEvent>) {
     let disconnected: HashSet<_> = events
--- a/front/src/server/downstream/tests.rs
+++ b/front/src/server/downstream/tests.rs
@@ -3,6 +3,7 @@
 use super::connection::{MAX_DRAINING_TIME, MIN_DRAINING_IDLE, READ_PAUSE};
 use super::eviction::IDLE_TIMEOUT;
 use super::*;
+use crate::protocol::bulk_strings::MAX_OBJECT_BYTES;
 use std::io::Write;
 use std::net::TcpListener;
 
@@ -285,7 +286,7 @@
     let all: Vec<u8> = (1..=32).flat_map(request).collect();
     harness.send_and_read(1, &client, 1, &all);
     for stream in 1..=32 {
-        let body = vec![7; 1 << 20].into();
+        let body = vec![7; MAX_OBJECT_BYTES].into();
         harness
             .clients
             .respond(1, ReplyTo { client: 1, stream }, Response::Served(body), 1);
--- a/front/src/server/upstream/transfer.rs
+++ b/front/src/server/upstream/transfer.rs
@@ -63,14 +63,16 @@
             return Ok(());
         };
         while let Some(DecodedReply { id, reply, length }) =
-            cache_node::decode(connection.stream.input()).map_err(|_| malformed())?
+            cache_node::decode(connection.stream.input()).map_err(|error| malformed(error.0))?
         {
             let txn = std::str::from_utf8(id).ok().and_then(TransactionId::new);
             let open = txn.and_then(|txn| connection.open_attempts.get(&txn));
             // Every served response except that of a write identifies its copy. One that does not was not produced by a correct
             // endpoint and must not reach a client.
             if open.is_some_and(|sent| !sent.is_write) && reply.lacks_identity() {
-                return Err(malformed());
+                return Err(malformed(
+                    "served reply without the tag or creation time of its copy",
+                ));
             }
             let answered = txn.and_then(|txn| connection.open_attempts.remove(&txn));
             if let Some(sent) = answered {
@@ -173,6 +175,6 @@
     }
 }
 
-fn malformed() -> io::Error {
-    io::ErrorKind::InvalidData.into()
+fn malformed(cause: &'static str) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, cause)
 }
--- a/front/tests/common/mod.rs
+++ b/front/tests/common/mod.rs
@@ -15,6 +15,9 @@
 
 pub const CACHE_IDS: [u32; 2] = [0x11, 0x12];
 
+/// Lengths of a frame that the protocol allows.
+const FRAME_BYTES: std::ops::RangeInclusive<u32> = 5..=262_144;
+
 fn with_read_timeout(stream: TcpStream) -> TcpStream {
     stream.set_read_timeout(Some(WAIT_TIMEOUT)).unwrap();
     stream
@@ -292,11 +295,14 @@
         self.0.write_all(&[head, payload].concat())
     }
 
-    /// The next frame in readable form; `None` at the end of the connection.
+    /// The next frame in readable form; `None` at the end of the connection. Panics on a frame that the protocol does not allow,
+    /// after which nothing on the connection can be read.
     pub fn receive(&mut self) -> Option<String> {
         let mut length = [0; 4];
         self.0.read_exact(&mut length).ok()?;
-        let mut frame = vec![0; u32::from_be_bytes(length) as usize];
+        let length = u32::from_be_bytes(length);
+        assert!(FRAME_BYTES.contains(&length), "frame of {length} bytes");
+        let mut frame = vec![0; length as usize];
         self.0.read_exact(&mut frame).ok()?;
         let stream = u32::from_be_bytes(frame[1..5].try_into().unwrap());
         Some(format!(
