Split the checker of the rig's invariants by observation

Cause: `violations` was one function of 300 lines with eight collections in tuples. Change: a Checker with a short function for each observation and each rule; the state of a node and a purge that a front has received are types. No rule, bound or text is changed.

--- a/rig/src/invariants/tests.rs
+++ b/rig/src/invariants/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::list_event::ListedNode;
+use crate::list_event::{ListedNode, State};
 
 const LIMITS: Limits = Limits {
     drain: Duration::from_millis(500),
