Encode the frames of test clients in one place

Cause: the encoding of a request's fields stood nine times in tests, examples and the rig. Change: client_frame and request_frame of the rig serve all of them. No test sends other bytes than before.

--- a/front/examples/measure-boxes.rs
+++ b/front/examples/measure-boxes.rs
@@ -1,6 +1,7 @@
 //! Measures the delay from a purge command to the confirmation of the last cache node, with 10, 100 and 1,000 test cache nodes,
 //! the rate of purge commands, and the load on the test origin after a purge of everything, with and without the shield.
 //! `make measure-boxes` runs it; the results are in `docs/design/purges.md`.
+use cranesill_rig::request_frame;
 use cranesill_standins::cache_node::{CacheNode, Origin};
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, Read, Write};
@@ -181,20 +182,8 @@
         ("item", &item),
         ("group", "3"),
     ];
-    let mut payload = vec![fields.len() as u8];
-    for (name, value) in fields {
-        payload.push(name.len() as u8);
-        payload.extend(name.bytes());
-        payload.extend((value.len() as u16).to_be_bytes());
-        payload.extend(value.bytes());
-    }
-    let head = [
-        &(5 + payload.len() as u32).to_be_bytes()[..],
-        &[10],
-        &stream.to_be_bytes(),
-    ]
-    .concat();
-    socket.write_all(&[head, payload].concat()).ok()?;
+    let frame = request_frame(stream, &fields, b"");
+    socket.write_all(&frame).ok()?;
     let mut length = [0; 4];
     socket.read_exact(&mut length).ok()?;
     let mut frame = vec![0; u32::from_be_bytes(length) as usize];
--- a/front/examples/measure-tls.rs
+++ b/front/examples/measure-tls.rs
@@ -1,6 +1,7 @@
 //! Measures the TLS listener of a release build on loopback: handshakes, requests over TLS compared with plain TCP, memory of
 //! idle connections, certificate changes under load, and floods of connections. `make measure-tls` runs it; the results are in
 //! `docs/design/certs.md`.
+use cranesill_rig::request_frame;
 use cranesill_standins::acme::Issuer;
 use rustls::pki_types::pem::PemObject;
 use rustls::pki_types::{CertificateDer, ServerName};
@@ -234,20 +235,7 @@
         ("limit", "2400"),
         ("item", "7f3a9c21e0b4d655"),
     ];
-    let mut payload = vec![fields.len() as u8];
-    for (name, value) in fields {
-        payload.push(name.len() as u8);
-        payload.extend(name.bytes());
-        payload.extend((value.len() as u16).to_be_bytes());
-        payload.extend(value.bytes());
-    }
-    let head = [
-        &(5 + payload.len() as u32).to_be_bytes()[..],
-        &[10],
-        &stream.to_be_bytes(),
-    ]
-    .concat();
-    transport.write_all(&[head, payload].concat())?;
+    transport.write_all(&request_frame(stream, &fields, b""))?;
     let mut length = [0; 4];
     transport.read_exact(&mut length)?;
     let mut frame = vec![0; u32::from_be_bytes(length) as usize];
--- a/front/examples/toy.rs
+++ b/front/examples/toy.rs
@@ -5,6 +5,7 @@
 //!     cargo run --release --bin cranesill -- serve front/examples/config.json   # in one terminal
 //!     cargo run --release --example toy                                         # in another
 //!     cargo run --release --example toy front/examples/three-hubs.json          # the same for another deployment
+use cranesill_rig::request_frame;
 use serde_json::Value;
 use std::collections::HashSet;
 use std::io::{self, BufRead, BufReader, Read, Write};
@@ -156,21 +157,7 @@
             &object,
         ]
         .concat();
-        let mut payload = vec![fields.len() as u8];
-        for (name, value) in fields {
-            payload.push(name.len() as u8);
-            payload.extend(name.bytes());
-            payload.extend((value.len() as u16).to_be_bytes());
-            payload.extend(value.bytes());
-        }
-        payload.extend(body.bytes());
-        let head = [
-            &(5 + payload.len() as u32).to_be_bytes()[..],
-            &[10],
-            &stream.to_be_bytes(),
-        ]
-        .concat();
-        front.write_all(&[head, payload].concat())?;
+        front.write_all(&request_frame(*stream, &fields, body.as_bytes()))?;
         let mut length = [0; 4];
         front.read_exact(&mut length)?;
         let mut frame = vec![0; u32::from_be_bytes(length) as usize];
--- a/front/tests/common/mod.rs
+++ b/front/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 pub mod closing;
 pub mod operations;
+use cranesill_rig::{client_frame, request_frame};
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -242,9 +243,8 @@
 
 impl Client {
     pub fn send(&mut self, kind: u8, stream: u32, payload: &[u8]) {
-        let length = (5 + payload.len()) as u32;
-        let head = [&length.to_be_bytes()[..], &[kind], &stream.to_be_bytes()].concat();
-        self.0.write_all(&[&head, payload].concat()).unwrap();
+        let frame = client_frame(kind, stream, payload);
+        self.0.write_all(&frame).unwrap();
     }
 
     /// Sends a request on a stream, whose number is also the transaction id.
@@ -264,14 +264,8 @@
             ("item", "7f3a9c21e0b4d655"),
         ];
         fields.extend(more);
-        let mut payload = vec![fields.len() as u8];
-        for (name, value) in fields {
-            payload.push(name.len() as u8);
-            payload.extend(name.bytes());
-            payload.extend((value.len() as u16).to_be_bytes());
-            payload.extend(value.bytes());
-        }
-        self.send(10, stream, &[&payload, body].concat());
+        let frame = request_frame(stream, &fields, body);
+        self.0.write_all(&frame).unwrap();
     }
 
     /// Sends a request with the given fields; an error means that the connection was closed.
@@ -283,16 +277,7 @@
     ) -> std::io::Result<()> {
         let mut fields = vec![("verb", class), ("limit", "3000")];
         fields.extend(more);
-        let mut payload = vec![fields.len() as u8];
-        for (name, value) in fields {
-            payload.push(name.len() as u8);
-            payload.extend(name.bytes());
-            payload.extend((value.len() as u16).to_be_bytes());
-            payload.extend(value.bytes());
-        }
-        let length = (5 + payload.len()) as u32;
-        let head = [&length.to_be_bytes()[..], &[10], &stream.to_be_bytes()].concat();
-        self.0.write_all(&[head, payload].concat())
+        self.0.write_all(&request_frame(stream, &fields, b""))
     }
 
     /// The next frame in readable form; `None` at the end of the connection. Panics on a frame that the protocol does not allow,
--- a/front/tests/memory_limit.rs
+++ b/front/tests/memory_limit.rs
@@ -2,6 +2,7 @@
 mod common;
 use common::operations::serve_hits;
 use common::*;
+use cranesill_rig::request_frame;
 use std::io::{BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -16,7 +17,6 @@
 const FRAME_BYTES: u32 = 262_144;
 /// The longest body of a request.
 const BODY_BYTES: usize = 48_000;
-const REQUEST_FRAME: u8 = 10;
 /// Requests of the usual client before an attack.
 const SMALL_RESPONSES: usize = 1_000;
 const ATTACK_DURATION: Duration = Duration::from_secs(3);
@@ -112,19 +112,7 @@
         ("limit", "3000"),
         ("item", &transaction),
     ];
-    let mut payload = vec![fields.len() as u8];
-    for (name, value) in fields {
-        payload.push(name.len() as u8);
-        payload.extend(name.bytes());
-        payload.extend((value.len() as u16).to_be_bytes());
-        payload.extend(value.bytes());
-    }
-    payload.resize(payload.len() + BODY_BYTES, b'b');
-    let mut frame = (5 + payload.len() as u32).to_be_bytes().to_vec();
-    frame.push(REQUEST_FRAME);
-    frame.extend(stream.to_be_bytes());
-    frame.extend(payload);
-    frame
+    request_frame(stream, &fields, &[b'b'; BODY_BYTES])
 }
 
 /// A client that sends writes without waiting for their responses, which it reads and ignores.
--- a/front/tests/system_call_faults.rs
+++ b/front/tests/system_call_faults.rs
@@ -1,7 +1,8 @@
 //! Failures of socket system calls as documented for Linux lose no request, repeat no write, and never make the remaining time
 //! sent to nodes longer than that of the client.
 use cranesill_rig::{
-    Behavior, ClusterSize, History, Observation, SocketFaults, SystemCall, TestCluster,
+    request_frame, Behavior, ClusterSize, History, Observation, SocketFaults, SystemCall,
+    TestCluster,
 };
 use serde_json::Value;
 use std::io::{Read, Write};
@@ -119,20 +120,10 @@
             ("limit", &limit),
             ("item", &item),
         ];
-        let mut payload = vec![fields.len() as u8];
-        for (name, value) in fields {
-            payload.push(name.len() as u8);
-            payload.extend(name.bytes());
-            payload.extend((value.len() as u16).to_be_bytes());
-            payload.extend(value.bytes());
-        }
-        let length = (5 + payload.len()) as u32;
-        let head = [&length.to_be_bytes()[..], &[10], &self.stream.to_be_bytes()].concat();
+        let frame = request_frame(self.stream, &fields, b"");
         self.history
             .record(Observation::ClientRequest { front: 0, txn });
-        let answered = socket
-            .write_all(&[head, payload].concat())
-            .and_then(|()| self.answer(socket));
+        let answered = socket.write_all(&frame).and_then(|()| self.answer(socket));
         let seen = answered
             .as_ref()
             .map_or(Observation::ClientUnanswered(0, txn), |code| {
--- a/front/tests/tls.rs
+++ b/front/tests/tls.rs
@@ -1,6 +1,7 @@
 //! TLS and certificates: a front as a process and a stand-in for the certificate authority in the test process.
 mod common;
 use common::*;
+use cranesill_rig::{client_frame, request_frame};
 use cranesill_standins::acme::Server;
 use rustls::pki_types::pem::PemObject;
 use rustls::pki_types::{CertificateDer, ServerName};
@@ -140,13 +141,7 @@
     }
 
     fn send(&mut self, kind: u8, stream: u32, payload: &[u8]) -> std::io::Result<()> {
-        let head = [
-            &(5 + payload.len() as u32).to_be_bytes()[..],
-            &[kind],
-            &stream.to_be_bytes(),
-        ]
-        .concat();
-        self.0.write_all(&[&head, payload].concat())
+        self.0.write_all(&client_frame(kind, stream, payload))
     }
 
     fn request(&mut self, stream: u32) -> std::io::Result<()> {
@@ -160,14 +155,7 @@
             ("limit", "20000"),
             ("item", "7f3a9c21e0b4d655"),
         ];
-        let mut payload = vec![fields.len() as u8];
-        for (name, value) in fields {
-            payload.push(name.len() as u8);
-            payload.extend(name.bytes());
-            payload.extend((value.len() as u16).to_be_bytes());
-            payload.extend(value.bytes());
-        }
-        self.send(10, stream, &payload)
+        self.0.write_all(&request_frame(stream, &fields, b""))
     }
 
     fn receive(&mut self) -> std::io::Result<Vec<u8>> {
--- a/rig/src/clients.rs
+++ b/rig/src/clients.rs
@@ -1,4 +1,5 @@
 //! Clients of the fronts: one thread for each connection, with one request at a time, recorded in the history.
+use crate::client_frames::request_frame;
 use crate::history::{History, Observation};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -118,13 +119,6 @@
     load: ClientLoad,
 }
 
-fn field(payload: &mut Vec<u8>, name: &str, value: &str) {
-    payload.push(name.len() as u8);
-    payload.extend(name.bytes());
-    payload.extend((value.len() as u16).to_be_bytes());
-    payload.extend(value.bytes());
-}
-
 impl Client {
     /// Transaction id of a request, composed of front, client and stream.
     fn txn(&self, stream: u32) -> u64 {
@@ -177,26 +171,16 @@
             .clone(),
             self.next_random() % self.load.objects,
         );
-        let mut payload = vec![4];
-        field(&mut payload, "verb", &class);
-        field(&mut payload, "txn", &format!("{txn:016x}"));
-        field(
-            &mut payload,
-            "limit",
-            &self.load.timeout.as_millis().to_string(),
-        );
-        field(&mut payload, "item", &format!("{item:016x}"));
-        if write {
-            payload.extend(b"keys");
-        }
-        let length = (5 + payload.len()) as u32;
-        let frame = [
-            &length.to_be_bytes()[..],
-            &[10],
-            &stream.to_be_bytes(),
-            &payload,
-        ]
-        .concat();
+        let (id, item) = (format!("{txn:016x}"), format!("{item:016x}"));
+        let limit = self.load.timeout.as_millis().to_string();
+        let fields = [
+            ("verb", class.as_str()),
+            ("txn", &id),
+            ("limit", &limit),
+            ("item", &item),
+        ];
+        let body: &[u8] = if write { b"keys" } else { b"" };
+        let frame = request_frame(stream, &fields, body);
         history.record(Observation::ClientRequest { front, txn });
         let until = Instant::now() + self.load.timeout + LATE_RESPONSE_TIMEOUT;
         let done = socket
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -5,6 +5,7 @@
 //! harness started are killed when the thread that started them exits. Used by tests and measurements only.
 #![deny(missing_docs)]
 
+mod client_frames;
 mod clients;
 mod cluster;
 mod faults;
@@ -18,6 +19,7 @@
 mod soak;
 mod socket_faults;
 
+pub use client_frames::{client_frame, request_frame};
 pub use clients::{ClientLoad, Clients, FrontAccess};
 pub use cluster::{ClusterSize, TestCluster};
 pub use faults::{Fault, Script};
