Log when the limit on input disconnects clients

Operators could not see why clients were disconnected whose messages, together, exceeded a quarter of the memory: limit_input closed them without a line, unlike the other limits. Evidence: the test of incomplete messages waits for the line and failed before.

--- a/front/src/server/downstream/eviction.rs
+++ b/front/src/server/downstream/eviction.rs
@@ -45,6 +45,7 @@
     /// `max_input_bytes`: incomplete frames, and bodies of requests that are held back. Returns the events of the closed connections.
     /// Called after each read: many clients that send at once exceed the limit long before the next sweep.
     pub fn limit_input(&mut self, max_input_bytes: usize) -> Vec<ClientEvent> {
+        let clients_before = self.connections.len();
         let mut disconnected = Vec::new();
         while self.input_bytes + self.unconfirmed.body_bytes() > max_input_bytes {
             let connections = self.connections.iter();
@@ -57,6 +58,15 @@
             };
             disconnected.extend(self.disconnect(key));
         }
+        let clients = clients_before - self.connections.len();
+        if clients > 0 {
+            tracing::info!(
+                kind = "input-limit",
+                clients,
+                max_bytes = max_input_bytes,
+                "disconnected the clients with the longest input: the limit on what all clients have sent is reached"
+            );
+        }
         disconnected
     }
 
--- a/front/tests/memory_limit.rs
+++ b/front/tests/memory_limit.rs
@@ -219,6 +219,10 @@
     let memory_mb = 32;
     let setup = start_front(memory_mb);
     assert_within_limit(&setup, memory_mb, send_incomplete_frames);
+    wait_for_line(
+        &setup.log,
+        "disconnected the clients with the longest input",
+    );
 }
 
 // Guards against a front that is killed for its memory: the bodies of pending requests were in no account.
