Test each guard of the mends of request bodies and of purge logs that are reset

Cause: with each new condition taken out on a trial basis, three of eight were found by no test: held-back requests in the choice of the client to disconnect, a reset by a clock that was moved back, and a log that only heartbeats confirmed. Change: tests for these, for bodies in the half of the memory that requests may use, and for a response that is too long at a connection. The code is unchanged.

--- a/front/src/routing/tests.rs
+++ b/front/src/routing/tests.rs
@@ -169,6 +169,37 @@
     assert_eq!((pipeline.pending_requests(), pipeline.body_bytes()), (0, 0));
 }
 
+#[test]
+fn bodies_of_pending_requests_count_against_the_memory_for_requests() {
+    let body_bytes = 10_000;
+    let mut pipeline = pipeline_with_origin(CapacityLimits {
+        max_pending: 100,
+        max_buffered_bytes: 1 << 20,
+        max_body_bytes: 1 << 20,
+    });
+    let buffered = (1 << 20) - body_bytes;
+    pipeline.set_buffered_bytes(buffered);
+    let (from, request) = client_request(1);
+    let request = ClientRequest {
+        body: vec![b'b'; body_bytes].into(),
+        ..request
+    };
+    pipeline.receive_request(SECOND, from, request);
+    assert!(take_responses(&mut pipeline).is_empty(), "fits exactly");
+    // Without the body that is pending, a request without a body would fit.
+    pipeline.set_buffered_bytes(buffered - INITIAL_RESPONSE_BYTES as usize + 1);
+    let (from, request) = client_request(2);
+    let request = ClientRequest {
+        body: Rc::default(),
+        ..request
+    };
+    pipeline.receive_request(SECOND, from, request.clone());
+    assert_eq!(take_responses(&mut pipeline), [Response::Rejected(500_000)]);
+    pipeline.set_buffered_bytes(buffered - INITIAL_RESPONSE_BYTES as usize);
+    pipeline.receive_request(SECOND, from, request);
+    assert!(take_responses(&mut pipeline).is_empty());
+}
+
 #[test]
 fn an_excessive_client_time_limit_is_capped_at_that_of_the_class() {
     let mut pipeline = pipeline_with_origin(CapacityLimits {
--- a/front/src/server/downstream/tests.rs
+++ b/front/src/server/downstream/tests.rs
@@ -4,7 +4,7 @@
 use super::eviction::IDLE_TIMEOUT;
 use super::*;
 use crate::protocol::bulk_strings::MAX_OBJECT_BYTES;
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::TcpListener;
 
 const READY: [u8; 11] = [0, 0, 0, 7, 20, 0, 0, 0, 1, 0, 0];
@@ -375,11 +375,37 @@
     }
     let held_bytes = |harness: &Harness| harness.clients.unconfirmed.body_bytes();
     assert_eq!(held_bytes(&harness), HELD_CLIENTS * BODY_BYTES);
+    // A client with a shorter incomplete frame is not disconnected.
+    let incomplete = harness.client(0, HELD_CLIENTS + 1);
+    let part = [&[0, 4, 0, 0, 10][..], &vec![0; BODY_BYTES / 2]].concat();
+    harness.send_and_read(1, &incomplete, HELD_CLIENTS + 1, &part);
     let limit = harness.clients.input_bytes + 2 * BODY_BYTES;
     let events = harness.clients.limit_input(limit);
     assert_eq!(events.len(), HELD_CLIENTS - 2, "one request each");
+    assert!(harness.clients.has_connection(HELD_CLIENTS + 1));
     assert_eq!(held_bytes(&harness), 2 * BODY_BYTES);
     let due_at = harness.clients.next_deadline().unwrap();
     assert_eq!(harness.clients.poll(due_at).len(), 2);
     assert_eq!(held_bytes(&harness), 0, "released on every way out");
 }
+
+#[test]
+fn a_response_that_does_not_fit_into_a_frame_fails_one_request_and_keeps_the_connection() {
+    let mut harness = Harness::new();
+    let client = harness.client(0, 1);
+    let requests = [REQUEST, &[0, 0, 0, 6, 10, 0, 0, 0, 2, 0]].concat();
+    assert_eq!(harness.send_and_read(1, &client, 1, &requests).len(), 2);
+    let respond = |harness: &mut Harness, stream: u32, length: usize| {
+        let to = ReplyTo { client: 1, stream };
+        let response = Response::Served(vec![7; length].into());
+        harness.clients.respond(1, to, response, 1);
+    };
+    respond(&mut harness, 1, 262_144);
+    respond(&mut harness, 2, 1);
+    let mut received = [0; 2 * 11 + 1];
+    (&client).read_exact(&mut received).unwrap();
+    let failed = [0, 0, 0, 7, 11, 0, 0, 0, 1, 3, 0];
+    let served = [0, 0, 0, 8, 11, 0, 0, 0, 2, 1, 0, 7];
+    assert_eq!(received[..], [&failed[..], &served].concat());
+    assert!(harness.clients.has_connection(1));
+}
--- a/front/src/server/drivers/purges/tests.rs
+++ b/front/src/server/drivers/purges/tests.rs
@@ -273,10 +273,7 @@
 #[test]
 fn all_copies_still_count_as_purged_after_a_reset_and_restarts() {
     const NEXT_LOG: u64 = LOG + 1;
-    let mut follower = TestFollower::new();
-    let path = follower.folder.path().join("purges");
-    journal::rewrite(&mut DiskFile::new(path), &PurgeLog::new(LOG)).unwrap();
-    follower = follower.restart();
+    let mut follower = follower_of_empty_log();
     assert_eq!(follower.purged_up_to, None, "nothing is missing yet");
     let (mut socket, hello) = follower.hello();
     assert_eq!((hello.log_identity, hello.last), (LOG, 0));
@@ -302,15 +299,27 @@
         let (_, hello) = follower.hello();
         assert_eq!((hello.log_identity, hello.last), (NEXT_LOG, 1));
     }
+    // Another reset, by a clock that was moved back, does not hide the first one.
+    follower.now = 2 * SECOND;
+    follower = follower.restart();
+    let (mut socket, _) = follower.hello();
+    socket.write_all(&reset(NEXT_LOG + 1)).unwrap();
+    follower.until(|purges| (purges.log.identity == NEXT_LOG + 1).then_some(()));
+    assert_eq!(follower.purges.log.purged_up_to(), reset_at_ms);
+}
+
+/// Creates a follower whose journal is that of the empty log [`LOG`].
+fn follower_of_empty_log() -> TestFollower {
+    let folder = tempfile::tempdir().unwrap();
+    let mut file = DiskFile::new(folder.path().join("purges"));
+    journal::rewrite(&mut file, &PurgeLog::new(LOG)).unwrap();
+    TestFollower::with_folder(folder)
 }
 
 // Guards against a purge that the writer accepted while the follower was out of contact, and lost with its log.
 #[test]
 fn a_reset_counts_everything_as_purged_though_the_log_had_no_purge() {
-    let mut follower = TestFollower::new();
-    let path = follower.folder.path().join("purges");
-    journal::rewrite(&mut DiskFile::new(path), &PurgeLog::new(LOG)).unwrap();
-    follower = follower.restart();
+    let mut follower = follower_of_empty_log();
     // The first contact with the writer of a log of its own, from which nothing is missing.
     let (mut socket, _) = follower.hello();
     socket.write_all(&reset(LOG + 1)).unwrap();
@@ -336,6 +345,16 @@
     assert_eq!(follower.all_purged, [reset_at_ms]);
 }
 
+#[test]
+fn a_heartbeat_of_the_writer_makes_an_empty_log_one_that_may_lack_purges() {
+    let mut follower = follower_of_empty_log();
+    let (mut socket, _) = follower.hello();
+    socket.write_all(&batch(1, 0)).unwrap();
+    socket.write_all(&reset(LOG + 1)).unwrap();
+    follower.until(|purges| (purges.log.identity == LOG + 1).then_some(()));
+    assert_eq!(follower.all_purged, [unix_ms(follower.now)]);
+}
+
 /// A journal in memory.
 #[derive(Default)]
 struct Memory(Vec<u8>);
