--- a/front/src/server/handover.rs
+++ b/front/src/server/handover.rs
@@ -10,9 +10,10 @@
 use crate::protocol::handover::{
     cordon_file_name, cordoned_endpoint, decode_learned, encode_learned, MAX_LEARNED_BYTES,
 };
+use crate::server::file_lock::FileLock;
 use cranesill::api::{EndpointId, LearnedHealth, Micros, Timestamp};
 use std::collections::BTreeSet;
-use std::fs::{self, File, TryLockError};
+use std::fs::{self, File};
 use std::io::{self, Read};
 use std::os::unix::fs::{DirBuilderExt, OpenOptionsExt};
 use std::path::{Path, PathBuf};
@@ -30,52 +31,22 @@
 /// Names of the files other than cordons.
 const KNOWN_FILES: [&str; 3] = ["accept", "alive", "learned"];
 
-/// A file lock.
-#[derive(Debug)]
-struct Lock {
-    file: File,
-    is_held: bool,
-}
-
-impl Lock {
-    fn new(path: &Path) -> io::Result<Self> {
-        // O_NONBLOCK: opening must not block if the path is a FIFO without a reader.
-        let mut options = File::options();
-        options
-            .create(true)
-            .truncate(false)
-            .write(true)
-            .custom_flags(libc::O_NONBLOCK);
-        let file = options.open(path)?;
-        Ok(Lock {
-            file,
-            is_held: false,
-        })
-    }
-
-    /// Acquires the lock unless another process holds it. Returns whether this process holds it.
-    fn try_acquire(&mut self) -> bool {
-        if !self.is_held {
-            self.is_held = match self.file.try_lock() {
-                Ok(()) => true,
-                Err(TryLockError::WouldBlock) => false,
-                // On a file system without locks two processes that accept are better than none.
-                Err(TryLockError::Error(error)) => {
-                    tracing::warn!(kind = "upgrade", %error, "file lock not available: assuming that no other process holds it");
-                    true
-                }
-            };
-        }
-        self.is_held
-    }
+/// Acquires a lock unless another process holds it. Returns whether this process holds it.
+fn try_acquire(lock: &mut FileLock) -> bool {
+    lock.try_acquire().unwrap_or_else(|error| {
+        // On a file system without locks two processes that accept are better than none.
+        tracing::warn!(kind = "upgrade", %error, "file lock not available: assuming that no other process holds it");
+        lock.assume_held();
+        true
+    })
 }
 
 /// The shared directory and its locks.
 #[derive(Debug)]
 pub struct Handover {
     directory: PathBuf,
-    accept: Lock,
-    alive: Lock,
+    accept: FileLock,
+    alive: FileLock,
     /// The largest number of files with unknown names seen so far.
     unknown_files: usize,
     /// Whether the failure to read the directory has been logged.
@@ -90,8 +61,8 @@
             Err(e) if e.kind() != io::ErrorKind::AlreadyExists => return Err(e),
             _ => {}
         }
-        let accept = Lock::new(&directory.join("accept"))?;
-        let alive = Lock::new(&directory.join("alive"))?;
+        let accept = FileLock::open(&directory.join("accept"))?;
+        let alive = FileLock::open(&directory.join("alive"))?;
         Ok(Handover {
             directory,
             accept,
@@ -103,17 +74,17 @@
 
     /// Acquires the right to accept clients unless another process has it. Returns whether this process accepts.
     pub fn try_accept(&mut self) -> bool {
-        self.accept.try_acquire()
+        try_acquire(&mut self.accept)
     }
 
     /// Whether all earlier processes of this front have ended.
     pub fn is_only_process(&mut self) -> bool {
-        self.alive.try_acquire()
+        try_acquire(&mut self.alive)
     }
 
     /// Writes the learned health and releases the right to accept clients to another process.
     pub fn hand_over(&mut self, now: Timestamp, learned: &[LearnedHealth]) {
-        if !self.accept.is_held {
+        if !self.accept.is_held() {
             return;
         }
         let temporary = self
@@ -132,10 +103,9 @@
             let _ = fs::remove_file(&temporary);
             tracing::warn!(kind = "upgrade", %error, directory = %self.directory.display(), "cannot write learned health: the next process starts without it");
         }
-        if let Err(error) = self.accept.file.unlock() {
+        if let Err(error) = self.accept.release() {
             tracing::warn!(kind = "upgrade", %error, "cannot release the accept lock: the next process accepts only after this one has ended");
         }
-        self.accept.is_held = false;
     }
 
     /// Reads and removes the health learned by an earlier process. Returns nothing if it is too old or not readable.
--- a/front/src/server/mod.rs
+++ b/front/src/server/mod.rs
@@ -13,6 +13,7 @@
 mod drivers;
 mod error;
 mod event_loop;
+mod file_lock;
 mod handover;
 mod log;
 mod purge_effects;
