Let one process at a time write a purge log that two processes share

Nothing said which process owns the file. The same cause lost purges of the next process in the earlier one, gave numbers out twice, let two followers with one file damage it, and lost purges that are kept in memory only.

Change: the process that accepts clients holds a lock on FILE.lock and writes the log (drivers/purges/sharing.rs, drivers/ownership.rs). The others read what is appended every 50 ms, obey it, and reject purges with one error that names the writer. One that shuts down completes its write and releases the lock. Without a file everything counts as purged at the takeover, and purges are accepted once no earlier process is left. The listener for followers is opened by the writer alone.

With each of these taken out a test fails: waiting for the write before the release, reading before clients, its time limit, reading as standby, rejecting as standby, rejecting queued purges, waiting for clients, not writing as a follower beside another, purging all without a file, waiting for the predecessor, removing a torn record, purging all when the file is lost, the lock, and the notification of a shutdown. A first form of one test asked the old process in the second after SIGTERM and failed once on a busy machine: two writes to the disk took longer. It now lets that process wait for a reply over the purge, with the same check.

--- a/front/src/server/drivers/effect.rs
+++ b/front/src/server/drivers/effect.rs
@@ -20,6 +20,8 @@
     Tls(TlsEffect),
     /// Messages about the purge log.
     Purges(PurgeEffect),
+    /// Messages about the processes of this front.
+    Process(ProcessEffect),
 }
 
 impl Effect {
@@ -109,6 +111,17 @@
     },
 }
 
+/// Changes in the part that this process has among the processes of this front, of which there are two during an upgrade.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProcessEffect {
+    /// No other process accepts clients. This process accepts them once all drivers allow it.
+    TakesOver,
+    /// All earlier processes have ended.
+    PredecessorEnded,
+    /// This process shuts down, and another one may take over.
+    ShutsDown,
+}
+
 /// Messages about the purge log.
 pub enum PurgeEffect {
     /// Enables the enforcement of purges.
--- a/front/src/server/drivers/mod.rs
+++ b/front/src/server/drivers/mod.rs
@@ -6,12 +6,15 @@
 pub mod control;
 mod effect;
 pub mod ops;
+mod ownership;
 pub mod peers;
 pub mod purges;
 pub mod snapshot;
 pub mod tls;
 
-pub use effect::{AdminEffect, Effect, EndpointAddress, EndpointEffect, PurgeEffect, TlsEffect};
+pub use effect::{
+    AdminEffect, Effect, EndpointAddress, EndpointEffect, ProcessEffect, PurgeEffect, TlsEffect,
+};
 
 use crate::transport::Reactor;
 use cranesill::api::Timestamp;
@@ -82,6 +85,10 @@
     }
     /// Applies reloaded settings.
     fn reload(&mut self, _turn: &mut Turn<'_>, _settings: &Daemon) {}
+    /// Whether this process may accept clients that another process accepted before, as far as the driver is concerned.
+    fn may_accept_clients(&self) -> bool {
+        true
+    }
     /// Called when the process shuts down after SIGTERM. The driver accepts no further connections.
     fn drain(&mut self) {}
 }
--- a/front/src/server/drivers/purges/cache_nodes.rs
+++ b/front/src/server/drivers/purges/cache_nodes.rs
@@ -175,6 +175,20 @@
         }
     }
 
+    /// Begins anew for another log, of which no node has confirmed anything.
+    pub(super) fn reset(&mut self, now: Timestamp, log: &PurgeLog) {
+        self.replication.begin_log(log.identity);
+        for id in self.nodes.keys() {
+            self.replication.disconnected(now, *id);
+        }
+        self.connections.clear();
+        for node in self.nodes.values_mut() {
+            node.connection = None;
+            node.connect_at = now;
+        }
+        self.reported_confirmed = 0;
+    }
+
     fn set_address(&mut self, now: Timestamp, id: NodeId, address: SocketAddr) {
         let known = self.nodes.get_mut(&id);
         if known.as_ref().is_some_and(|node| node.address == address) {
--- a/front/src/server/drivers/purges/commands.rs
+++ b/front/src/server/drivers/purges/commands.rs
@@ -40,6 +40,9 @@
     Rejected(#[from] CommandError),
     #[error("this front follows the purge log of {writer}; send the purge to that front")]
     NotTheWriter { writer: String },
+    /// Another process writes the purge log.
+    #[error("purge not accepted: {0}")]
+    NotThisProcess(String),
     #[error(
         "{} purges are already waiting to be written to the journal",
         MAX_QUEUED_COMMANDS
@@ -150,6 +153,11 @@
             let Some(QueuedCommand { pending, command }) = self.queue.pop_front() else {
                 return;
             };
+            if !self.sharing.is_writer() {
+                let error = OperatorError::NotThisProcess(self.sharing.rejection());
+                respond(turn, pending.command_id, Err(error));
+                continue;
+            }
             if let Some(cause) = &self.journal_failure {
                 let error = OperatorError::JournalFailed(cause.clone());
                 respond(turn, pending.command_id, Err(error));
--- a/front/src/server/drivers/purges/followers.rs
+++ b/front/src/server/drivers/purges/followers.rs
@@ -141,6 +141,14 @@
     }
 }
 
+/// Parses the address for followers in the settings.
+pub(super) fn parse_address(address: &str) -> Result<SocketAddr, StartError> {
+    address.parse().map_err(|cause| StartError::ServeAddress {
+        address: address.into(),
+        cause,
+    })
+}
+
 /// The followers of this front.
 #[derive(Debug)]
 pub(super) struct Followers {
@@ -154,11 +162,7 @@
 impl Followers {
     /// Opens the listener for followers.
     pub(super) fn new(turn: &mut Turn<'_>, address: &str) -> Result<Self, StartError> {
-        let socket_address: SocketAddr =
-            address.parse().map_err(|cause| StartError::ServeAddress {
-                address: address.into(),
-                cause,
-            })?;
+        let socket_address = parse_address(address)?;
         let listener_key = turn.key();
         let listener = Self::listen(turn, socket_address, listener_key).map_err(|cause| {
             StartError::Serve {
--- a/front/src/server/drivers/purges/following.rs
+++ b/front/src/server/drivers/purges/following.rs
@@ -92,7 +92,7 @@
     /// Starts to make appended purges durable.
     fn store_batch(&mut self, turn: &mut Turn<'_>, purges: Vec<Purge>) {
         let durable = DurablePosition::end_of(&self.log);
-        if self.journal.file().is_none() {
+        if self.journal.file().is_none() || !self.sharing.is_writer() {
             self.durable = durable;
             return;
         }
--- a/front/src/server/drivers/purges/journal_writer.rs
+++ b/front/src/server/drivers/purges/journal_writer.rs
@@ -1,4 +1,6 @@
 //! Writes the journal of the purge log on a worker thread, since syncing a file blocks.
+use super::journal_reader::JournalRead;
+use super::start::rename_damaged;
 use crate::transport::{Reactor, Workers};
 use cranesill_purges::journal::{self, GuardedFile, JournalFile};
 use cranesill_purges::log::PurgeLog;
@@ -11,7 +13,7 @@
 use thiserror::Error;
 
 /// Maximum size of a journal.
-const MAX_JOURNAL_BYTES: u64 = 1 << 30;
+pub(super) const MAX_JOURNAL_BYTES: u64 = 1 << 30;
 /// File mode of the journal.
 const JOURNAL_MODE: u32 = 0o600;
 
@@ -147,16 +149,34 @@
         durable: DurablePosition,
         result: WriteResult,
     },
+    /// A read of a journal that another process may write.
+    JournalRead {
+        /// Number of the read.
+        read: u64,
+        result: io::Result<JournalRead>,
+    },
     /// The compiled patterns, or why they could not be compiled.
     PatternsCompiled(Result<PatternSet, CompileError>),
 }
 
+impl Completed {
+    /// Whether the job wrote the journal.
+    fn is_write(&self) -> bool {
+        !matches!(
+            self,
+            Completed::JournalRead { .. } | Completed::PatternsCompiled(_)
+        )
+    }
+}
+
 type SharedFile = Arc<Mutex<GuardedFile<DiskFile>>>;
 
 /// Passes jobs to worker threads. Writes are performed in order.
 pub(super) struct JournalWriter {
     file: Option<SharedFile>,
     workers: Workers<Completed>,
+    /// Number of writes whose results were not returned yet.
+    writes_in_progress: usize,
 }
 
 impl JournalWriter {
@@ -165,6 +185,7 @@
         Ok(JournalWriter {
             file: None,
             workers: Workers::new(reactor, key)?,
+            writes_in_progress: 0,
         })
     }
 
@@ -207,6 +228,40 @@
         })
     }
 
+    /// Starts to rename a damaged journal and to write its successor.
+    pub(super) fn rename_damaged_and_rewrite(
+        &mut self,
+        path: PathBuf,
+        log: PurgeLog,
+    ) -> io::Result<()> {
+        let durable = DurablePosition::end_of(&log);
+        let write = move |file: &mut GuardedFile<DiskFile>| {
+            rename_damaged(&path)?;
+            journal::rewrite(file, &log)
+        };
+        self.write(write, move |result| Completed::Rewritten {
+            durable,
+            result,
+        })
+    }
+
+    /// Starts a read of the journal, after the writes that were started before.
+    pub(super) fn read(
+        &mut self,
+        read: u64,
+        work: impl FnOnce() -> io::Result<JournalRead> + Send + 'static,
+    ) -> io::Result<()> {
+        self.workers.in_order(move || Completed::JournalRead {
+            read,
+            result: work(),
+        })
+    }
+
+    /// Returns the number of writes that were started and whose results were not returned yet.
+    pub(super) fn writes_in_progress(&self) -> usize {
+        self.writes_in_progress
+    }
+
     fn write(
         &mut self,
         write: impl FnOnce(&mut GuardedFile<DiskFile>) -> io::Result<()> + Send + 'static,
@@ -220,7 +275,9 @@
                 Ok(mut file) => write(&mut file).map_err(WriteError::Io),
                 Err(_) => Err(WriteError::WriterPanicked),
             })
-        })
+        })?;
+        self.writes_in_progress += 1;
+        Ok(())
     }
 
     /// Starts to compile patterns, concurrently with writes.
@@ -231,6 +288,9 @@
 
     /// Returns the jobs that were completed since the last call.
     pub(super) fn completed(&mut self) -> Vec<Completed> {
-        self.workers.results()
+        let results = self.workers.results();
+        let writes = results.iter().filter(|completed| completed.is_write());
+        self.writes_in_progress -= writes.count();
+        results
     }
 }
--- a/front/src/server/drivers/purges/mod.rs
+++ b/front/src/server/drivers/purges/mod.rs
@@ -1,10 +1,13 @@
 //! Driver of the purge log. Purges by operators are written to the journal, and sent to followers, to cache nodes and to the
-//! front's own purge floors. A purge takes effect, and its operator is answered, once it is durable.
+//! front's own purge floors. A purge takes effect, and its operator is answered, once it is durable. Of several processes with the same
+//! journal one accepts purges; see [`sharing`].
 mod cache_nodes;
 mod commands;
 mod followers;
 mod following;
+mod journal_reader;
 mod journal_writer;
+mod sharing;
 mod start;
 mod writer_link;
 
@@ -12,6 +15,7 @@
 pub use followers::MAX_FOLLOWERS;
 pub use start::StartError;
 
+use super::ownership::Ownership;
 use super::{AdminEffect, Driver, Effect, EndpointEffect, PurgeEffect, Turn};
 use crate::transport::Outgoing;
 use cache_nodes::CacheNodeLinks;
@@ -22,7 +26,10 @@
 use cranesill_purges::matching::CompileJob;
 use cranesill_purges::{Purge, PurgeNumber, UnixMillis};
 use followers::Followers;
+use journal_reader::JournalReader;
 use journal_writer::{Completed, DurablePosition, JournalWriter};
+use sharing::Sharing;
+use start::LoadedLog;
 use std::collections::VecDeque;
 use std::rc::Rc;
 use writer_link::WriterLink;
@@ -51,6 +58,8 @@
     writer: Option<WriterLink>,
     /// Whether a writer has sent this log since the start, so that it may have accepted further purges.
     log_is_from_writer: bool,
+    /// The part of this process among those that share the log.
+    sharing: Sharing,
     confirmation_waits: Vec<ConfirmationWait>,
     next_sweep: Timestamp,
     now: Timestamp,
@@ -116,19 +125,43 @@
     }
 }
 
+/// Loads the log, and determines whether this process is its writer.
+fn load(
+    now: Timestamp,
+    settings: &Settings,
+    accepts_clients: bool,
+) -> Result<(LoadedLog, Sharing), StartError> {
+    let Some(path) = &settings.file else {
+        return Ok((
+            start::in_memory(now),
+            Sharing::without_file(accepts_clients),
+        ));
+    };
+    let mut ownership = Ownership::of_file(path);
+    let owned = accepts_clients && start::try_acquire(&mut ownership)?;
+    let mut reader = JournalReader::new(path);
+    let loaded = match owned {
+        true => start::load_owned(now, path)?,
+        false => start::load_shared(now, path, &mut reader)?,
+    };
+    let sharing = Sharing::of_file(ownership, reader, accepts_clients, owned);
+    Ok((loaded, sharing))
+}
+
 impl Purges {
     /// Loads the log and opens the sockets. Called before the first request is accepted. `platform_kinds` are the names of
-    /// the kinds of endpoints, by index.
+    /// the kinds of endpoints, by index. `accepts_clients` is whether no other process of this front accepts clients.
     pub fn new(
         turn: &mut Turn<'_>,
         settings: &Settings,
         platform_kinds: &[String],
+        accepts_clients: bool,
     ) -> Result<Self, StartError> {
         let kinds = start::cache_node_kinds(settings, platform_kinds)?;
         let journal_key = turn.key();
         let mut journal =
             JournalWriter::new(turn.reactor, journal_key).map_err(StartError::Workers)?;
-        let loaded = start::load(turn.now, settings)?;
+        let (loaded, sharing) = load(turn.now, settings, accepts_clients)?;
         let durable = loaded.durable();
         let log = loaded.log;
         journal.set_file(loaded.file);
@@ -138,7 +171,8 @@
             CacheNodeLinks::new(turn.now, &log, kinds, rate, nodes.connections_most)
         });
         let followers = match &settings.serve {
-            Some(address) => Some(Followers::new(turn, address)?),
+            Some(address) if sharing.is_writer() => Some(Followers::new(turn, address)?),
+            Some(address) => followers::parse_address(address).map(|_| None)?,
             None => None,
         };
         let writer = match &settings.follow {
@@ -158,6 +192,7 @@
             followers,
             writer,
             log_is_from_writer: false,
+            sharing,
             confirmation_waits: Vec::new(),
             next_sweep: turn.now + SWEEP_INTERVAL,
             now: turn.now,
@@ -171,14 +206,17 @@
         }
         if let Some(writer) = &mut self.writer {
             let stored = match self.journal.file() {
-                Some(_) => self.durable.number,
-                None => self.log.last_number(),
+                Some(_) if self.sharing.is_writer() => self.durable.number,
+                _ => self.log.last_number(),
             };
             writer.connect_if_due(turn, self.log.identity, stored);
         }
         let Some(nodes) = &mut self.cache_nodes else {
             return;
         };
+        if !self.sharing.sends_to_cache_nodes() {
+            return;
+        }
         nodes.send_due(turn, &self.log);
         if let Some(number) = nodes.take_confirmation() {
             turn.effects
@@ -189,6 +227,7 @@
 
     fn handle_completed(&mut self, turn: &mut Turn<'_>, completed: Completed) {
         match completed {
+            Completed::JournalRead { read, result } => self.journal_read(turn, read, result),
             Completed::PurgeAppended(Ok(())) => {
                 if let Some(appended) = self.appending.take() {
                     self.purge_appended(turn, appended);
@@ -260,7 +299,7 @@
 
     /// Starts to rewrite the journal, which drops compacted purges and partial records of failed writes.
     fn rewrite_journal(&mut self, turn: &mut Turn<'_>) {
-        if self.journal.file().is_none() {
+        if self.journal.file().is_none() || !self.sharing.is_writer() {
             return;
         }
         if let Err(error) = self.journal.rewrite(self.log.clone()) {
@@ -273,8 +312,8 @@
         let horizon = horizon(turn.now, &self.settings);
         turn.effects
             .push(Effect::Purges(PurgeEffect::Expired { horizon }));
-        // A rewrite could lose a purge that is being appended.
-        if self.appending.is_some() {
+        // A rewrite could lose a purge that is being appended, and the log of another process is compacted by that one.
+        if self.appending.is_some() || !self.sharing.is_writer() {
             return;
         }
         let confirmed = match &self.cache_nodes {
@@ -317,12 +356,14 @@
             for completed in self.journal.completed() {
                 self.handle_completed(turn, completed);
             }
+            self.release_if_written(turn.now);
         }
     }
 
     fn due(&mut self, turn: &mut Turn<'_>) {
         self.advance_links(turn);
         self.now = turn.now;
+        self.poll_sharing(turn);
         if turn.now >= self.next_sweep {
             self.next_sweep = turn.now + SWEEP_INTERVAL;
             self.sweep(turn);
@@ -336,10 +377,19 @@
         let waits = self.confirmation_waits.iter().map(|wait| wait.until).min();
         let followers = self.followers.as_ref().and_then(Followers::next_due);
         let writer = self.writer.as_ref().map(WriterLink::next_due);
-        [Some(self.next_sweep), nodes, waits, followers, writer]
-            .into_iter()
-            .flatten()
-            .min()
+        let nodes = nodes.filter(|_| self.sharing.sends_to_cache_nodes());
+        let sharing = self.sharing.next_due();
+        [
+            Some(self.next_sweep),
+            nodes,
+            waits,
+            followers,
+            writer,
+            sharing,
+        ]
+        .into_iter()
+        .flatten()
+        .min()
     }
 
     fn handle_effect(&mut self, turn: &mut Turn<'_>, effect: &Effect) {
@@ -364,10 +414,15 @@
                 name,
                 arguments,
             }) => self.handle_command(turn, *id, name, arguments),
+            Effect::Process(change) => self.handle_process_effect(turn, *change),
             _ => {}
         }
     }
 
+    fn may_accept_clients(&self) -> bool {
+        self.sharing.is_caught_up()
+    }
+
     fn commands(&self) -> Vec<(&'static str, &'static str)> {
         vec![
             (
--- a/front/src/server/drivers/purges/start.rs
+++ b/front/src/server/drivers/purges/start.rs
@@ -1,6 +1,8 @@
 //! Loads the purge log at the start. If purges may be lost, all copies count as purged.
+use super::journal_reader::{JournalChange, JournalReader};
 use super::journal_writer::{DiskFile, DurablePosition};
 use super::unix_ms;
+use crate::server::drivers::ownership::Ownership;
 use cranesill::api::Timestamp;
 use cranesill_daemon::Purges as Settings;
 use cranesill_purges::journal::{self, GuardedFile, OpenedJournal};
@@ -31,6 +33,14 @@
         /// Error of the file operation.
         cause: io::Error,
     },
+    /// The lock of the journal is not available.
+    #[error("purges.file: {}: cannot lock the journal: {cause}", path.display())]
+    Lock {
+        /// Path of the lock file.
+        path: PathBuf,
+        /// Error of the file operation.
+        cause: io::Error,
+    },
     /// The journal has a format that this version does not support.
     #[error("purges.file: {}: written by a newer version of this program", .0.display())]
     NewerJournal(PathBuf),
@@ -79,16 +89,81 @@
     }
 }
 
-/// Loads the log from the journal in the settings, or creates an empty one.
-pub(super) fn load(now: Timestamp, settings: &Settings) -> Result<LoadedLog, StartError> {
-    let identity = unix_ms(now) ^ (u64::from(std::process::id()) << IDENTITY_TIME_BITS);
-    let Some(path) = &settings.file else {
-        return Ok(LoadedLog {
-            log: PurgeLog::new(identity),
-            file: None,
-            journal_failure: None,
-        });
+/// Acquires the ownership of the journal, if no other process has it. On a full disk or after an I/O error the start continues, and
+/// the process tries again later.
+pub(super) fn try_acquire(ownership: &mut Ownership) -> Result<bool, StartError> {
+    match ownership.try_acquire() {
+        Ok(owned) => Ok(owned),
+        Err(error) if is_disk_failure(&error) => {
+            tracing::error!(kind = "not-kept", %error, path = %ownership.lock_path().display(), "purges: cannot lock the journal; retrying");
+            Ok(false)
+        }
+        Err(cause) => Err(StartError::Lock {
+            path: ownership.lock_path().to_path_buf(),
+            cause,
+        }),
+    }
+}
+
+/// Whether an error means that the disk is full or failing, which may pass.
+fn is_disk_failure(error: &io::Error) -> bool {
+    let full = matches!(
+        error.kind(),
+        io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded
+    );
+    full || error.raw_os_error() == Some(libc::EIO)
+}
+
+/// Returns an identity for a new log.
+pub(super) fn new_identity(now: Timestamp) -> u64 {
+    unix_ms(now) ^ (u64::from(std::process::id()) << IDENTITY_TIME_BITS)
+}
+
+/// Creates an empty log that is kept in memory only.
+pub(super) fn in_memory(now: Timestamp) -> LoadedLog {
+    LoadedLog {
+        log: PurgeLog::new(new_identity(now)),
+        file: None,
+        journal_failure: None,
+    }
+}
+
+/// Loads the log from a journal that another process writes, without changing the file.
+pub(super) fn load_shared(
+    now: Timestamp,
+    path: &Path,
+    reader: &mut JournalReader,
+) -> Result<LoadedLog, StartError> {
+    let failed = |cause| StartError::Journal {
+        path: path.to_path_buf(),
+        cause,
     };
+    let opened = match reader.read_changes().map_err(failed)?.change {
+        JournalChange::Replaced(opened) => opened,
+        // The first read returns the whole file.
+        _ => OpenedJournal::Missing,
+    };
+    let log = match opened {
+        OpenedJournal::Complete { log, .. } => log,
+        OpenedJournal::Missing | OpenedJournal::Damaged { .. } => {
+            let mut log = PurgeLog::new(new_identity(now));
+            log.record_missing(unix_ms(now));
+            log
+        }
+        OpenedJournal::NewerVersion => return Err(StartError::NewerJournal(path.to_path_buf())),
+    };
+    Ok(LoadedLog {
+        log,
+        file: Some(GuardedFile::new(DiskFile::new(path.to_path_buf()))),
+        journal_failure: None,
+    })
+}
+
+/// Loads the log from the journal that this process owns. A journal that is missing, damaged or ends with an incomplete record is
+/// rewritten.
+pub(super) fn load_owned(now: Timestamp, path: &Path) -> Result<LoadedLog, StartError> {
+    let identity = new_identity(now);
+    let path = &path.to_path_buf();
     let failed = |cause| StartError::Journal {
         path: path.clone(),
         cause,
@@ -141,6 +216,25 @@
     damaged: Option<PurgeLog>,
     offset: usize,
 ) -> io::Result<PurgeLog> {
+    let log = successor_of_damaged(now, identity, path, damaged, offset);
+    rename_damaged(path)?;
+    Ok(log)
+}
+
+/// Renames a damaged journal. It is not copied since a full disk has no space for that. If the process ends here, the next start
+/// finds no journal, and counts everything as purged as well.
+pub(super) fn rename_damaged(path: &Path) -> io::Result<()> {
+    std::fs::rename(path, path.with_extension("damaged"))
+}
+
+/// Creates the log that succeeds a damaged one: it has the purges before the damage, and counts everything as purged.
+pub(super) fn successor_of_damaged(
+    now: Timestamp,
+    identity: u64,
+    path: &Path,
+    damaged: Option<PurgeLog>,
+    offset: usize,
+) -> PurgeLog {
     tracing::error!(
         kind = "damaged",
         at = offset,
@@ -162,10 +256,7 @@
         );
     }
     purge_everything(now, &mut log, "the file was damaged");
-    // Renamed since a full disk has no space for a copy. If the process ends here, the next start finds no journal, and
-    // purges everything as well.
-    std::fs::rename(path, path.with_extension("damaged"))?;
-    Ok(log)
+    log
 }
 
 /// Appends a purge of everything, since earlier purges may be lost. Like any purge it is stored and sent to cache nodes.
@@ -193,11 +284,7 @@
     let Err(error) = journal::rewrite(file, log) else {
         return Ok(None);
     };
-    let full = matches!(
-        error.kind(),
-        io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded
-    );
-    if !full && error.raw_os_error() != Some(libc::EIO) {
+    if !is_disk_failure(&error) {
         return Err(error);
     }
     tracing::error!(kind = "not-kept", %error, path = %path.display(), "purges: cannot rewrite the journal; retrying");
--- a/front/src/server/drivers/purges/tests.rs
+++ b/front/src/server/drivers/purges/tests.rs
@@ -66,7 +66,7 @@
             effects: &mut effects,
             keys: &mut keys,
         };
-        let purges = Purges::new(&mut turn, &settings, &[]).unwrap();
+        let purges = Purges::new(&mut turn, &settings, &[], true).unwrap();
         let enabled = effects.iter().find_map(|effect| match effect {
             Effect::Purges(PurgeEffect::Enabled { purged_up_to, .. }) => Some(*purged_up_to),
             _ => None,
--- a/front/src/server/event_loop/assembly.rs
+++ b/front/src/server/event_loop/assembly.rs
@@ -18,6 +18,7 @@
 use crate::server::drivers::tls::Tls;
 use crate::server::drivers::{Driver, PollerKeys, Turn};
 use crate::server::error::ServerError;
+use crate::server::handover::Handover;
 use crate::server::log::Log;
 use crate::server::signals;
 use crate::server::startup::{call_schedule, known_list, snapshot_path, Startup};
@@ -216,9 +217,17 @@
             self.start_driver(now, |turn| Ok(Box::new(Certs::new(turn, &certs, &name)?)))?;
         }
         if let Some(purges) = settings.purges {
+            // Acquired before the purge log is loaded: the process that accepts clients writes the log.
+            let handover = self.handover.as_mut();
+            let accepts_clients = handover.is_none_or(Handover::try_accept);
             let kinds = self.config.deployment.names.kinds.clone();
             self.start_driver(now, |turn| {
-                Ok(Box::new(Purges::new(turn, &purges, &kinds)?))
+                Ok(Box::new(Purges::new(
+                    turn,
+                    &purges,
+                    &kinds,
+                    accepts_clients,
+                )?))
             })?;
         }
         self.start_list_drivers(now, settings.startup.as_ref(), list)?;
--- a/front/src/server/event_loop/shutdown.rs
+++ b/front/src/server/event_loop/shutdown.rs
@@ -2,6 +2,7 @@
 use super::timers::Timer;
 use super::Server;
 use crate::server::drain::{Drain, Stage};
+use crate::server::drivers::{Effect, ProcessEffect};
 use crate::server::error::AdminError;
 use crate::server::signals;
 use cranesill::api::{Micros, Timestamp};
@@ -23,6 +24,9 @@
         self.shutdown = Some(drain);
         self.clients.drain(now, self.config.accept_fd.is_some());
         self.watch_listener(true);
+        // Before the right to accept clients: the next process acquires both.
+        self.effects.push(Effect::Process(ProcessEffect::ShutsDown));
+        self.deliver_effects(now);
         let learned = self.pipeline.learned_health();
         if let Some(handover) = &mut self.handover {
             handover.hand_over(now, &learned);
--- a/front/src/server/event_loop/takeover.rs
+++ b/front/src/server/event_loop/takeover.rs
@@ -1,6 +1,7 @@
 //! Takeover of the listening socket for clients from an earlier process of this front.
 use super::timers::Timer;
 use super::Server;
+use crate::server::drivers::{Effect, ProcessEffect};
 use crate::server::handover::Handover;
 use crate::transport::retry_on_shortage;
 use cranesill::api::{Micros, Timestamp};
@@ -35,8 +36,20 @@
         if self.shutdown.is_some() {
             return;
         }
-        let accepts = handover.try_accept();
+        let may_accept = handover.try_accept();
         let is_only_process = handover.is_only_process();
+        if is_only_process {
+            self.effects
+                .push(Effect::Process(ProcessEffect::PredecessorEnded));
+        }
+        if may_accept && !self.accepts_clients {
+            self.effects.push(Effect::Process(ProcessEffect::TakesOver));
+        }
+        self.deliver_effects(now);
+        let accepts = may_accept && self.drivers_may_accept_clients();
+        let Some(handover) = &mut self.handover else {
+            return;
+        };
         if accepts && !self.accepts_clients {
             let learned = handover.take_learned(now);
             tracing::info!(kind = "upgrade", learned = learned.len(), "accepts clients");
@@ -51,6 +64,12 @@
         }
     }
 
+    fn drivers_may_accept_clients(&self) -> bool {
+        self.drivers
+            .iter()
+            .all(|running| running.driver.may_accept_clients())
+    }
+
     /// Sets whether the limits are shared with another process of this front, and applies the resulting limits.
     pub(super) fn share_limits(&mut self, now: Timestamp, shared: bool) {
         if std::mem::replace(&mut self.config.limits_shared, shared) != shared {
--- a/front/src/server/file_lock.rs
+++ b/front/src/server/file_lock.rs
@@ -5,6 +5,9 @@
 use std::os::unix::fs::OpenOptionsExt;
 use std::path::Path;
 
+/// File mode of a new lock file.
+const LOCK_MODE: u32 = 0o600;
+
 /// A lock file, and whether this process holds its lock.
 #[derive(Debug)]
 pub struct FileLock {
@@ -21,6 +24,7 @@
             .create(true)
             .truncate(false)
             .write(true)
+            .mode(LOCK_MODE)
             .custom_flags(libc::O_NONBLOCK);
         let file = options.open(path)?;
         Ok(FileLock {
@@ -59,4 +63,9 @@
     pub fn is_held(&self) -> bool {
         self.is_held
     }
+
+    /// Returns the lock file.
+    pub fn file(&self) -> &File {
+        &self.file
+    }
 }
--- a/front/tests/common/mod.rs
+++ b/front/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 pub mod closing;
 pub mod operations;
+pub mod purges;
 use cranesill_rig::{client_frame, request_frame};
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, Read, Write};
--- a/front/tests/common/operations.rs
+++ b/front/tests/common/operations.rs
@@ -117,13 +117,22 @@
 
     /// Starts a further process, whose configuration may differ.
     pub fn start_with(&self, config: &Value) -> Process {
+        self.start_with_settings(config, None)
+    }
+
+    /// Like [`InheritedListener::start_with`], with daemon settings.
+    pub fn start_with_settings(
+        &self,
+        config: &Value,
+        settings: Option<&std::path::Path>,
+    ) -> Process {
         let fd = std::os::fd::AsRawFd::as_raw_fd(&self.listener).to_string();
         let folder = self.folder.path().display().to_string();
         let variables = [
             ("RELAY_ACCEPT_FD", fd.as_str()),
             ("TMPDIR", folder.as_str()),
         ];
-        let (mut front, file) = start_with_env(config, None, &variables);
+        let (mut front, file) = start_with_env(config, settings, &variables);
         let log = read_log(&mut front, file);
         // `Process` kills the front when it is dropped.
         Process { child: front, log }
--- a/front/tests/purges.rs
+++ b/front/tests/purges.rs
@@ -1,8 +1,8 @@
 //! Purges by operators: a front as a process, and caches that hold old copies.
 mod common;
+use common::purges::write_empty_journal;
 use common::*;
 use cranesill_purges::journal::{self, DecodedRecord};
-use cranesill_purges::log::PurgeLog;
 use cranesill_purges::PurgeTarget;
 use serde_json::{json, Value};
 use std::collections::HashMap;
@@ -154,24 +154,6 @@
     }
 }
 
-/// File of an empty purge log.
-struct EmptyJournal(PathBuf);
-
-impl journal::JournalFile for EmptyJournal {
-    fn read(&mut self) -> std::io::Result<Option<Vec<u8>>> {
-        Ok(None)
-    }
-    fn append(&mut self, _: &[u8]) -> std::io::Result<()> {
-        Ok(())
-    }
-    fn sync(&mut self) -> std::io::Result<()> {
-        Ok(())
-    }
-    fn replace(&mut self, bytes: &[u8]) -> std::io::Result<()> {
-        std::fs::write(&self.0, bytes)
-    }
-}
-
 struct Fixture {
     folder: tempfile::TempDir,
     cache: Cache,
@@ -207,12 +189,7 @@
         };
         if !self.path("purges").exists() {
             // Without a file all objects would count as purged.
-            let identity = u64::from(std::process::id());
-            journal::rewrite(
-                &mut EmptyJournal(self.path("purges")),
-                &PurgeLog::new(identity),
-            )
-            .unwrap();
+            write_empty_journal(&self.path("purges"));
         }
         let setup = begin();
         setup
--- a/purges/src/journal.rs
+++ b/purges/src/journal.rs
@@ -108,17 +108,53 @@
 
 /// Reads a journal. Corruption is reported in the result; an error means that the file could not be read.
 pub fn open(file: &mut dyn JournalFile) -> io::Result<OpenedJournal> {
-    let Some(bytes) = file.read()? else {
-        return Ok(OpenedJournal::Missing);
-    };
-    Ok(match decode_header(&bytes) {
+    let bytes = file.read()?;
+    Ok(bytes.map_or(OpenedJournal::Missing, |bytes| decode(&bytes)))
+}
+
+/// Decodes the contents of a journal file.
+pub fn decode(bytes: &[u8]) -> OpenedJournal {
+    match decode_header(bytes) {
         Ok((log, records)) => read_records(log, records),
         Err(HeaderError::NewerVersion) => OpenedJournal::NewerVersion,
         Err(HeaderError::Damaged) => OpenedJournal::Damaged {
             log: None,
             offset: 0,
         },
-    })
+    }
+}
+
+/// Records that were appended to a journal after it was decoded.
+#[derive(Debug, PartialEq, Eq)]
+pub struct AppendedRecords {
+    /// The purges of the complete records.
+    pub purges: Vec<Purge>,
+    /// Length of the complete records in bytes. An incomplete one may follow, which is still being written.
+    pub length: usize,
+    /// Whether a corrupted record follows the complete ones.
+    pub is_damaged: bool,
+}
+
+/// Decodes records that follow the ones that were already decoded.
+pub fn decode_appended(bytes: &[u8]) -> AppendedRecords {
+    let mut appended = AppendedRecords {
+        purges: Vec::new(),
+        length: 0,
+        is_damaged: false,
+    };
+    loop {
+        match decode_record(&bytes[appended.length..]) {
+            DecodedRecord::Record { purge, length } => {
+                appended.purges.push(purge);
+                appended.length += length;
+            }
+            DecodedRecord::Incomplete => return appended,
+            DecodedRecord::Corrupt => {
+                appended.is_damaged = true;
+                return appended;
+            }
+        }
+    }
 }
 
 fn read_records(mut log: PurgeLog, records: &[u8]) -> OpenedJournal {
--- a/purges/src/replication.rs
+++ b/purges/src/replication.rs
@@ -140,6 +140,18 @@
         }
     }
 
+    /// Continues with another log, of which no node has confirmed a purge yet.
+    pub fn begin_log(&mut self, identity: u64) {
+        self.identity = identity;
+        let ids: Vec<NodeId> = self.nodes.keys().copied().collect();
+        for id in ids {
+            self.end_batch(id);
+        }
+        for state in self.nodes.values_mut() {
+            state.confirmed = 0;
+        }
+    }
+
     /// Adds a node that has not confirmed any purge. An existing node keeps its state.
     pub fn add_node(&mut self, id: NodeId) {
         self.nodes.entry(id).or_default();
