Let one process at a time manage the certificates of a front

Callers saw: a certificate that was imported at the earlier process of an upgrade was confirmed, and the next process went on without it.

Both processes read the directory at their start, and both wrote it: orders, account, state, and temporary files of the same names, which a start of the other removed.

Change: the process that accepts clients and holds the lock on .NAME.lock in the directory manages it (drivers/certs/sharing.rs). The other reads it once a second, changes nothing, and rejects commands with one error that names the owner. One that shuts down completes its writes and releases the lock. The listener for http-01 challenges is opened by the owner alone.

Measured: certificate_imported_during_an_upgrade_is_known_to_the_next_process with two real processes, terminated and killed: on the code as it was the first assertion fails; without that, the next process does not know the certificate within 20 s. With each of these taken out a test fails: waiting for writes, rejecting commands, reading as standby, leaving temporary files (at the start and later), waiting for clients.

--- a/certs/src/disk.rs
+++ b/certs/src/disk.rs
@@ -218,15 +218,20 @@
 /// Reads all files of a folder. Unreadable files are returned as faults. Temporary files of this writer, left by a crash,
 /// are removed.
 pub fn load(files: &mut dyn Files) -> Result<Loaded, String> {
+    let temporary_suffix = format!(".{}.tmp", files.writer_id());
+    for name in list(files)? {
+        if name.starts_with('.') && name.ends_with(&temporary_suffix) {
+            let _ = files.remove(&name);
+        }
+    }
+    load_unchanged(files)
+}
+
+/// Reads all files of a folder in which another process with the same writer id may write. Unreadable files are returned as faults.
+pub fn load_unchanged(files: &mut dyn Files) -> Result<Loaded, String> {
     let mut loaded = Loaded::default();
-    let names = files
-        .list()
-        .map_err(|e| format!("cannot list the folder: {e}"))?;
-    for name in names {
+    for name in list(files)? {
         if name.starts_with('.') {
-            if name.ends_with(&format!(".{}.tmp", files.writer_id())) {
-                let _ = files.remove(&name);
-            }
             continue;
         }
         let fault = match files.read(&name) {
@@ -240,6 +245,11 @@
     Ok(loaded)
 }
 
+fn list(files: &mut dyn Files) -> Result<Vec<String>, String> {
+    let names = files.list();
+    names.map_err(|error| format!("cannot list the folder: {error}"))
+}
+
 /// Reads a certificate that another front may have renewed. Returns `None` if there is no usable file.
 pub fn reread(files: &mut dyn Files, id: &str) -> Option<Identity> {
     let bytes = files.read(&format!("{id}.pem")).ok()?;
--- a/front/src/server/drivers/certs/actions.rs
+++ b/front/src/server/drivers/certs/actions.rs
@@ -1,4 +1,5 @@
 //! Applies the actions of the ACME client. Blocking work runs on a worker thread.
+use super::sharing::SharedDirectory;
 use super::{Certs, WorkResult};
 use crate::server::drivers::certificate_table::ChallengeCertificate;
 use crate::server::drivers::{Effect, TlsEffect, Turn};
@@ -44,7 +45,7 @@
 
     /// Sends a request to the authority. Returns an event if the worker thread could not be started.
     fn send_request(&mut self, task: u64, request: Request) -> Option<Event> {
-        let transport = self.transport.as_ref()?;
+        let transport = &self.authority.as_ref()?.transport;
         let config = Arc::clone(&transport.config);
         let deadline = Instant::now() + transport.timeout;
         let max_response_bytes = transport.max_response_bytes;
@@ -77,7 +78,7 @@
     /// Writes to the certificate directory, after all earlier writes. Returns an event if the worker thread could not be
     /// started.
     fn save(&mut self, task: u64, content: FileUpdate) -> Option<Event> {
-        let folder = self.folder.clone();
+        let folder = self.directory.as_ref().map(SharedDirectory::folder);
         let started = self.workers.in_order(move || {
             let result = match folder.as_ref().map(|folder| folder.lock()) {
                 None => Ok(()),
@@ -86,16 +87,20 @@
                     Err("certificate directory unusable after a panic in an earlier write".into())
                 }
             };
-            WorkResult::Event(Event::Done(task, result))
+            WorkResult::Saved(Event::Done(task, result))
         });
-        started
-            .err()
-            .map(|error| Event::Done(task, Err(thread_error(&error))))
+        if let Err(error) = started {
+            return Some(Event::Done(task, Err(thread_error(&error))));
+        }
+        if let Some(directory) = &mut self.directory {
+            directory.writes_in_progress += 1;
+        }
+        None
     }
 
     /// Reads a certificate from the directory again. Returns an event if the worker thread could not be started.
     fn reread(&mut self, task: u64, id: String) -> Option<Event> {
-        let folder = self.folder.clone();
+        let folder = self.directory.as_ref().map(SharedDirectory::folder);
         let started = self.workers.in_order(move || {
             let mut folder = folder.as_ref().and_then(|folder| folder.lock().ok());
             let identity = folder
--- a/front/src/server/drivers/certs/challenges.rs
+++ b/front/src/server/drivers/certs/challenges.rs
@@ -14,6 +14,8 @@
 const MIN_CLIENT_DURATION: Micros = 250_000;
 /// Maximum number of connections accepted per turn of the event loop.
 const MAX_ACCEPTS_PER_TURN: usize = 16;
+/// Interval of attempts to listen while the address is in use.
+const LISTEN_RETRY_INTERVAL: Micros = 500_000;
 const MAX_REQUEST_BYTES: usize = 4 * 1024;
 /// Time after accepting a client at which it is disconnected.
 const CLIENT_TIMEOUT: Micros = 5_000_000;
@@ -38,6 +40,10 @@
 #[derive(Default)]
 pub(super) struct Challenges {
     listener: Option<Listener>,
+    /// Address of the listener, if the settings have one.
+    address: Option<SocketAddr>,
+    /// Time of the next attempt to listen; `None` if none is due.
+    listen_at: Option<Timestamp>,
     clients: HashMap<usize, Client>,
     /// All slots are taken and no client may be displaced yet, so the listener is not watched.
     full: bool,
@@ -46,15 +52,48 @@
 }
 
 impl Challenges {
-    /// Listens on `address`. Without one there is no listener.
-    pub(super) fn new(turn: &mut Turn<'_>, address: Option<&str>) -> Result<Self, CertsError> {
-        let listener = address.map(|text| open(turn, text)).transpose()?;
+    /// Listens on `address` if `listens`. Without an address there is never a listener.
+    pub(super) fn new(
+        turn: &mut Turn<'_>,
+        address: Option<&str>,
+        listens: bool,
+    ) -> Result<Self, CertsError> {
+        let address = address.map(parse_address).transpose()?;
+        let listener = address.filter(|_| listens).map(|at| open(turn, at));
         Ok(Challenges {
-            listener,
+            listener: listener.transpose()?,
+            address,
             ..Challenges::default()
         })
     }
 
+    /// Closes the listener.
+    pub(super) fn stop_listening(&mut self) {
+        self.listener = None;
+        self.listen_at = None;
+        self.full = false;
+    }
+
+    /// Listens from now on, as soon as the address is free.
+    pub(super) fn listen_again(&mut self, now: Timestamp) {
+        self.listen_at = Some(now);
+    }
+
+    fn retry_listening(&mut self, turn: &mut Turn<'_>) {
+        let due = self.listen_at.is_some_and(|at| turn.now >= at);
+        let Some(address) = self.address.filter(|_| due && self.listener.is_none()) else {
+            return;
+        };
+        self.listen_at = None;
+        match open(turn, address) {
+            Ok(listener) => self.listener = Some(listener),
+            Err(error) => {
+                tracing::warn!(kind = "upgrade", %error, "cannot listen for challenges yet; retrying");
+                self.listen_at = Some(turn.now + LISTEN_RETRY_INTERVAL);
+            }
+        }
+    }
+
     /// Serves a key authorization under its token.
     pub(super) fn publish(&mut self, token: String, authorization: String) {
         self.authorizations.insert(token, authorization);
@@ -135,7 +174,9 @@
     }
 
     /// Disconnects clients that have timed out, and resumes a paused listener.
-    pub(super) fn due(&mut self, now: Timestamp) {
+    pub(super) fn due(&mut self, turn: &mut Turn<'_>) {
+        let now = turn.now;
+        self.retry_listening(turn);
         if let Some(listener) = &mut self.listener {
             listener.socket.resume_if_due(now);
         }
@@ -157,17 +198,21 @@
         });
         let listener = self.listener.as_ref();
         let listener = listener.and_then(|listener| listener.socket.resumes_at());
-        client.into_iter().chain(listener).min()
+        let listen_at = self.listen_at.filter(|_| self.address.is_some());
+        [client, listener, listen_at].into_iter().flatten().min()
     }
 }
 
-fn open(turn: &mut Turn<'_>, text: &str) -> Result<Listener, CertsError> {
-    let configured: SocketAddr = text.parse().map_err(|cause| CertsError::ListenAddress {
+fn parse_address(text: &str) -> Result<SocketAddr, CertsError> {
+    text.parse().map_err(|cause| CertsError::ListenAddress {
         address: text.into(),
         cause,
-    })?;
+    })
+}
+
+fn open(turn: &mut Turn<'_>, configured: SocketAddr) -> Result<Listener, CertsError> {
     let listen_error = |cause| CertsError::Listen {
-        address: text.into(),
+        address: configured.to_string(),
         cause,
     };
     let key = turn.key();
--- a/front/src/server/drivers/certs/operators.rs
+++ b/front/src/server/drivers/certs/operators.rs
@@ -34,11 +34,15 @@
     ) {
         let text = |field: &str| arguments[field].as_str().unwrap_or("");
         let name = text("name").to_ascii_lowercase();
+        if command == "certs" {
+            let state = self.state(turn, &name);
+            return turn.effects.push(Effect::response(id, Ok(state)));
+        }
+        let is_change = COMMANDS.iter().any(|(name, _)| *name == command);
+        if !is_change || self.reject_command(turn, id) {
+            return;
+        }
         match command {
-            "certs" => {
-                let state = self.state(turn, &name);
-                turn.effects.push(Effect::response(id, Ok(state)));
-            }
             "certs-renew" => self.handle(turn, Event::Renew(id, name)),
             "certs-revoke" => {
                 let reason = arguments["reason"].as_u64();
--- a/front/src/server/event_loop/assembly.rs
+++ b/front/src/server/event_loop/assembly.rs
@@ -208,18 +208,20 @@
             self.start_driver(now, |turn| Ok(Box::new(Ops::new(turn, at, has_handover)?)))?;
             self.admin_slot = self.drivers.len();
         }
+        // Before state on disk is loaded, which the process that accepts clients owns.
+        let handover = self.handover.as_mut();
+        let accepts_clients = handover.is_none_or(Handover::try_accept);
         let settings = self.settings.clone();
         if let Some(tls) = settings.tls {
             self.start_driver(now, |turn| Ok(Box::new(Tls::new(turn, tls)?)))?;
         }
         if let Some(certs) = settings.certs {
             let name = self.config.name.clone();
-            self.start_driver(now, |turn| Ok(Box::new(Certs::new(turn, &certs, &name)?)))?;
+            self.start_driver(now, |turn| {
+                Ok(Box::new(Certs::new(turn, &certs, &name, accepts_clients)?))
+            })?;
         }
         if let Some(purges) = settings.purges {
-            // Acquired before the purge log is loaded: the process that accepts clients writes the log.
-            let handover = self.handover.as_mut();
-            let accepts_clients = handover.is_none_or(Handover::try_accept);
             let kinds = self.config.deployment.names.kinds.clone();
             self.start_driver(now, |turn| {
                 Ok(Box::new(Purges::new(
--- a/front/tests/upgrades.rs
+++ b/front/tests/upgrades.rs
@@ -24,6 +24,7 @@
 const ITEMS: u64 = 6;
 const TAG: &str = "vitara";
 const CLASS: &str = "car-video";
+const HOST: &str = "front1.east.example.org";
 /// Delay of a reply that arrives after a purge. The process that waits for it has at least 3.4 s after SIGTERM.
 const REPLY_DELAY_MS: u64 = 2_000;
 /// Size of the frame by which a front notifies its clients that it drains.
@@ -102,7 +103,9 @@
                 .to_string()
                 .into();
         }
-        let settings = json!({"control": {"path": control}, "purges": purges});
+        let directory = self.folder.path().join("certs");
+        let certs = json!({"directory": directory, "certificates": [{"names": [HOST]}], "fronts": ["front"]});
+        let settings = json!({"control": {"path": control}, "purges": purges, "certs": certs});
         let file = self.folder.path().join(format!("daemon-{number}.json"));
         std::fs::write(&file, settings.to_string()).unwrap();
         let process = self
@@ -181,18 +184,30 @@
         operator_command(self.operators, "health").starts_with("+OK")
     }
 
-    /// Purges at this process; returns the number of the purge, or the error.
-    fn purge(&self, target: &[&str]) -> Result<u64, String> {
+    fn run(&self, arguments: &[&str]) -> Result<String, String> {
         let done = Command::new(env!("CARGO_BIN_EXE_cranesill"))
-            .arg("purge")
-            .args(target)
+            .args(arguments)
             .env("CRANESILL_SOCKET", &self.control)
             .output()
             .unwrap();
-        if !done.status.success() {
-            return Err(String::from_utf8([done.stdout, done.stderr].concat()).unwrap());
+        let text = String::from_utf8([done.stdout, done.stderr].concat()).unwrap();
+        if done.status.success() {
+            Ok(text)
+        } else {
+            Err(text)
         }
-        let answer: Value = serde_json::from_slice(&done.stdout).unwrap();
+    }
+
+    /// Whether this process has a certificate for the host.
+    fn has_certificate(&self) -> bool {
+        let shown = self.run(&["certs", "show", HOST]);
+        shown.is_ok_and(|text| text.contains("\"certificate\": \"good\""))
+    }
+
+    /// Purges at this process; returns the number of the purge, or the error.
+    fn purge(&self, target: &[&str]) -> Result<u64, String> {
+        let answer = self.run(&[&["purge"], target].concat())?;
+        let answer: Value = serde_json::from_str(&answer).unwrap();
         Ok(answer["number"].as_u64().unwrap())
     }
 
@@ -424,6 +439,41 @@
     }
 }
 
+/// Guards against a certificate that the earlier process has acknowledged and the next one does not know, and against two processes
+/// that manage the same files.
+#[test]
+fn certificate_imported_during_an_upgrade_is_known_to_the_next_process() {
+    for how in [End::Terminated, End::Killed] {
+        let deployment = Deployment::new(true);
+        let files = ["key.pem", "chain.pem"].map(|name| deployment.folder.path().join(name));
+        let key = rcgen::KeyPair::generate().unwrap();
+        let certificate = rcgen::CertificateParams::new(vec![HOST.to_string()])
+            .unwrap()
+            .self_signed(&key)
+            .unwrap();
+        std::fs::write(&files[0], key.serialize_pem()).unwrap();
+        std::fs::write(&files[1], certificate.pem()).unwrap();
+        let files = files.each_ref().map(|file| file.to_str().unwrap());
+        let import = ["certs", "import", "--key", files[0], "--chain", files[1]];
+        let old = deployment.start();
+        let next = deployment.start();
+        let error = next.run(&import).unwrap_err();
+        let owner = format!(
+            "process {} manages the certificates",
+            old.process.child.id()
+        );
+        assert!(error.contains(&owner), "{error}");
+        assert_eq!(error.trim_end().lines().count(), 1, "{error}");
+        old.run(&import).unwrap();
+        assert!(old.has_certificate());
+        end(old, how);
+        wait_until("informed of the certificate", || next.has_certificate());
+        wait_until("the manager of the certificates", || {
+            next.run(&import).is_ok()
+        });
+    }
+}
+
 /// Linear congruential generator of the random upgrades.
 struct Random(u64);
 
