Do not send a request that must not run twice again under its identifier

Cause: an identifier was known only while its request was pending, in one process.

Change: ExecutionGuard keeps it for 60 s from the moment an attempt is sent, unless the end of the attempt proves that it did not run. A request with a known identifier fails, at admission and when it is sent.

--- a/front/src/protocol/cache_node/tests.rs
+++ b/front/src/protocol/cache_node/tests.rs
@@ -27,6 +27,7 @@
         cached_tag: Some("4be0".into()),
         idempotency_key: Some("09c7".into()),
         write: false,
+        execution: None,
         body: b"".as_slice().into(),
     };
     let encode = |command: &Fetch| {
--- a/front/src/routing/accounting.rs
+++ b/front/src/routing/accounting.rs
@@ -13,6 +13,10 @@
         let end = self.check_reply(now, id, outstanding.target, end);
         let status = end.status();
         self.record_possible_run(id, outstanding.sent_at, status);
+        if let Some(key) = outstanding.execution.filter(|_| status.proves_not_run()) {
+            self.executions.forget(key);
+            self.commands.push_back(Command::NotExecuted(key));
+        }
         let closed = match end.reply() {
             Some(reply) => self.relay(id, reply),
             None => !self.pending.contains_key(&id),
--- a/front/src/routing/admission.rs
+++ b/front/src/routing/admission.rs
@@ -38,6 +38,10 @@
         {
             return self.respond_to(&pending, Response::Failed);
         }
+        if self.may_have_run_before(now, &pending) {
+            // Not rejected, which would tell the client that it was not executed.
+            return self.respond_to(&pending, Response::Failed);
+        }
         if let Some(reason) = self.rejection_reason(&pending) {
             let line = self.rejection_line(reason);
             self.commands.push_back(Command::Log(line));
@@ -58,6 +62,21 @@
         self.handle_event(now, Event::Request(request));
     }
 
+    /// Whether a request with the same identifier may have been executed, and must not be executed again. Counts and logs it.
+    fn may_have_run_before(&mut self, now: Timestamp, request: &PendingRequest) -> bool {
+        let key = self.execution_key(request);
+        let Some(key) = key.filter(|key| self.executions.is_known(now, *key)) else {
+            return false;
+        };
+        self.executions.duplicates += 1;
+        let line = format!(
+            "request failed: {:016x} of class {} may have been executed before; not forwarded again",
+            key.0, request.request.class
+        );
+        self.commands.push_back(Command::Log(line));
+        true
+    }
+
     /// Returns why a new request has to be rejected; `None` if it can be admitted.
     fn rejection_reason(&self, request: &PendingRequest) -> Option<RejectionReason> {
         if self.rejecting {
--- a/front/src/routing/dispatch.rs
+++ b/front/src/routing/dispatch.rs
@@ -29,10 +29,22 @@
         if let Some(part) = plan.bypass {
             let class = pending.class;
             if let Err(retry_after) = self.admit_bypass(now, class, part) {
-                return self.reject_bypass(now, request, target, retry_after);
+                return self.end_unsent(now, request, target, Response::Rejected(retry_after));
             }
             *self.bypasses.entry(part).or_default() += 1;
         }
+        let execution = self
+            .pending
+            .get(&request)
+            .and_then(|pending| self.execution_key(pending));
+        if let Some(key) = execution {
+            // Another process of this front may have announced it while the request waited.
+            if self.executions.is_known(now, key) {
+                self.executions.duplicates += 1;
+                return self.end_unsent(now, request, target, Response::Failed);
+            }
+            self.record_execution(now, key);
+        }
         let Some(pending) = self.pending.get_mut(&request) else {
             return;
         };
@@ -45,11 +57,25 @@
             sent_at: now,
             target,
             bypass: plan.bypass,
+            execution,
         };
         self.outstanding.insert(attempt, outstanding);
         self.send_fetch(attempt, target, timeout_at, plan.fill);
     }
 
+    /// Records that a request which must not be executed twice is about to be sent, and logs if earlier ones are forgotten for it.
+    fn record_execution(&mut self, now: Timestamp, key: ExecutionKey) {
+        let evicted_before = self.executions.evicted;
+        self.executions.record(now, key);
+        if self.executions.takes_report(now, evicted_before) {
+            let line = format!(
+                "more than {MAX_IDENTIFIERS} requests that must not be executed twice within a minute: the oldest are forgotten, \
+                 and are executed again if they come again"
+            );
+            self.commands.push_back(Command::Log(line));
+        }
+    }
+
     /// Adjusts a fill to the purges that are currently known, which may have arrived while the request was queued.
     fn plan_fill(
         &self,
@@ -113,14 +139,14 @@
         Some(classes.get(class)?.priority_weight / highest.max(f64::MIN_POSITIVE))
     }
 
-    /// Rejects a request whose fetch would overload the origin. The attempt is recorded and ended at once because the router
-    /// holds a slot for it until its end is reported.
-    fn reject_bypass(
+    /// Responds to a request whose attempt must not be sent. The attempt is recorded and ended at once because the router holds a
+    /// slot for it until its end is reported.
+    fn end_unsent(
         &mut self,
         now: Timestamp,
         request: RequestId,
         target: EndpointId,
-        retry_after: Micros,
+        response: Response,
     ) {
         let Some(pending) = self.pending.get(&request) else {
             return;
@@ -133,9 +159,10 @@
             sent_at: now,
             target,
             bypass: None,
+            execution: None,
         };
         self.outstanding.insert(attempt, outstanding);
-        self.conclude(request, Response::Rejected(retry_after));
+        self.conclude(request, response);
         self.attempt_ended(now, attempt, AttemptEnd::NoConnection);
     }
 
@@ -162,6 +189,7 @@
             cached_tag: request.cached_tag.clone(),
             idempotency_key: request.idempotency_key.clone(),
             write: pending.write,
+            execution: self.execution_key(pending),
             body: Rc::clone(&request.body),
         };
         self.commands.push_back(Command::SetTimer {
@@ -188,6 +216,17 @@
         }
     }
 
+    /// Fails a request whose attempt was not sent because another process of this front may have sent one with the same identifier.
+    pub fn withhold_duplicate(&mut self, now: Timestamp, attempt: AttemptId) {
+        self.executions.duplicates += 1;
+        self.conclude(attempt.request, Response::Failed);
+        // Its identifier stays known.
+        if let Some(outstanding) = self.outstanding.get_mut(&attempt) {
+            outstanding.execution = None;
+        }
+        self.attempt_ended(now, attempt, AttemptEnd::NoConnection);
+    }
+
     /// Cancels an attempt if it is outstanding. The server reports its end once it is cancelled.
     pub(super) fn cancel_attempt(&mut self, attempt: AttemptId) {
         if self.outstanding.contains_key(&attempt) {
--- a/front/src/routing/mod.rs
+++ b/front/src/routing/mod.rs
@@ -5,6 +5,7 @@
 mod body_memory;
 mod clock_offset;
 mod dispatch;
+mod execution_guard;
 mod ingress;
 mod purge_floors;
 mod relay;
@@ -15,10 +16,11 @@
 
 use body_memory::BodyMemory;
 pub use clock_offset::ClockOffset;
+pub use execution_guard::{ExecutionGuard, ExecutionKey, MAX_IDENTIFIERS};
 pub use purge_floors::{Freshness, PurgeFloors};
 pub use types::*;
 
-use cranesill::api::{Action, EndpointId, Micros, RequestId, Timestamp};
+use cranesill::api::{Action, EndpointId, Idempotency, Micros, RequestId, Timestamp};
 use cranesill::Router;
 use cranesill_purges::shield::Shield;
 use cranesill_settings::Deployment;
@@ -48,6 +50,8 @@
     target: EndpointId,
     /// The part for which the attempt bypasses the caches, if a purge requires a newer copy than they have.
     bypass: Option<ObjectPart>,
+    /// The identifier of the request, if its class must not be executed twice.
+    execution: Option<ExecutionKey>,
 }
 
 /// Memory limits of one front.
@@ -94,6 +98,8 @@
     pub floors: Option<PurgeFloors>,
     /// Limits the rate of fetches that bypass the caches because of purges.
     pub shield: Option<Shield>,
+    /// Requests that may have been executed and must not be executed again.
+    pub executions: ExecutionGuard,
     /// Parts whose fetches currently bypass the caches, with the number of attempts for each.
     bypasses: HashMap<ObjectPart, u32>,
 }
@@ -120,6 +126,7 @@
             commands: VecDeque::new(),
             floors: None,
             shield: None,
+            executions: ExecutionGuard::default(),
             bypasses: HashMap::new(),
         }
     }
@@ -160,6 +167,13 @@
         self.router.is_unavailable(endpoint)
     }
 
+    /// Returns the identifier of a request if its class must not be executed twice.
+    fn execution_key(&self, request: &PendingRequest) -> Option<ExecutionKey> {
+        let class = self.deployment.settings.classes.get(request.class)?;
+        let is_guarded = class.idempotency == Idempotency::NotIdempotent;
+        is_guarded.then(|| request.request.transaction.into())
+    }
+
     /// Returns the retry-after of requests that are rejected because this front is overloaded.
     fn overload_retry_after(&self) -> Micros {
         self.deployment.settings.max_retry_after
--- a/front/src/routing/tests.rs
+++ b/front/src/routing/tests.rs
@@ -2,6 +2,8 @@
 use cranesill::api::ListKind;
 use serde_json::Value;
 
+mod executions;
+
 const SECOND: Timestamp = 1_000_000;
 
 fn new_pipeline(capacity: CapacityLimits) -> RequestPipeline {
--- a/front/src/routing/types.rs
+++ b/front/src/routing/types.rs
@@ -1,4 +1,5 @@
 //! Types shared by the pipeline stages, the protocol codecs and the server.
+use super::ExecutionKey;
 use cranesill::api::{EndpointId, FillNote, Micros, RequestId, Status, Timestamp};
 use std::rc::Rc;
 
@@ -155,6 +156,8 @@
     pub idempotency_key: Option<Rc<str>>,
     /// Whether the request is executed by the origin and not cached.
     pub write: bool,
+    /// The identifier, if requests of the class must not be executed twice.
+    pub execution: Option<ExecutionKey>,
     /// The body, forwarded as received.
     pub body: Rc<[u8]>,
 }
@@ -326,6 +329,8 @@
         /// The timer to pass.
         timer: Timer,
     },
+    /// A request whose attempt was sent was not executed after all.
+    NotExecuted(ExecutionKey),
     /// Report that an endpoint served a copy older than the maximum age that the attempt requested because of a purge.
     StaleCopyServed(EndpointId),
     /// Write a line to the log.
--- a/front/src/server/event_loop/admin.rs
+++ b/front/src/server/event_loop/admin.rs
@@ -118,6 +118,7 @@
         let cordoned: Vec<_> = self.cordoned.iter().map(|id| endpoint_name(*id)).collect();
         let unreachable_since = self.discovery.unreachable_since();
         let revision = self.discovery.revision();
+        let executions = &self.pipeline.executions;
         json!({
             "name": self.config.name,
             "version": env!("CARGO_PKG_VERSION"),
@@ -138,6 +139,7 @@
             "held_bytes": self.clients.buffered_bytes() + self.upstream.buffered_bytes(),
             "held_bytes_most": self.config.max_client_buffers(),
             "body_bytes": self.pipeline.body_bytes(),
+            "executions": {"known": executions.len(), "duplicates": executions.duplicates, "evicted": executions.evicted},
             "body_bytes_most": self.config.capacity_limits().max_body_bytes,
             "settings": self.settings_file,
             "purges": self.purge_status(),
--- a/front/src/server/event_loop/cordon.rs
+++ b/front/src/server/event_loop/cordon.rs
@@ -69,7 +69,7 @@
         self.run_commands(now, ends);
     }
 
-    /// Applies cordons set or lifted in another process of this front.
+    /// Applies cordons set or lifted, and executions announced, in another process of this front.
     pub(super) fn poll_cordons(&mut self, now: Timestamp) {
         let Some(handover) = &mut self.handover else {
             return;
@@ -83,6 +83,7 @@
                 self.apply_cordon(now, id, cordons.contains(&id));
             }
         }
+        self.poll_executions(now);
         self.timers
             .add(now + CORDON_POLL_INTERVAL, Timer::CordonPoll);
     }
--- a/front/src/server/event_loop/dispatch.rs
+++ b/front/src/server/event_loop/dispatch.rs
@@ -57,7 +57,11 @@
                 target,
                 fetch,
             } => {
-                self.begin_attempt(now, attempt, target, &fetch, ends);
+                if self.announce_execution(now, fetch.execution) {
+                    self.begin_attempt(now, attempt, target, &fetch, ends);
+                } else {
+                    self.pipeline.withhold_duplicate(now, attempt);
+                }
             }
             Command::Cancel(attempt) => {
                 self.upstream.cancel(now, attempt, ends);
@@ -69,6 +73,11 @@
                 deadline,
             } => self.clients.respond(now, to, response, deadline),
             Command::SetTimer { at, timer } => self.timers.add(at, Timer::Routing(timer)),
+            Command::NotExecuted(key) => {
+                if let Some(handover) = &mut self.handover {
+                    handover.executions.withdraw(key);
+                }
+            }
             Command::StaleCopyServed(endpoint) => {
                 let endpoint = endpoint.0;
                 let message = EndpointEffect::StaleCopyServed { endpoint };
--- a/front/src/server/event_loop/shutdown.rs
+++ b/front/src/server/event_loop/shutdown.rs
@@ -24,6 +24,7 @@
         self.shutdown = Some(drain);
         self.clients.drain(now, self.config.accept_fd.is_some());
         self.watch_listener(true);
+        self.poll_executions(now);
         // Before the right to accept clients: the next process acquires both.
         self.effects.push(Effect::Process(ProcessEffect::ShutsDown));
         self.deliver_effects(now);
--- a/front/src/server/event_loop/takeover.rs
+++ b/front/src/server/event_loop/takeover.rs
@@ -1,8 +1,9 @@
 //! Takeover of the listening socket for clients from an earlier process of this front.
 use super::timers::Timer;
 use super::Server;
+use crate::routing::ExecutionKey;
 use crate::server::drivers::{Effect, ProcessEffect};
-use crate::server::handover::Handover;
+use crate::server::handover::{Announcement, Handover};
 use crate::transport::retry_on_shortage;
 use cranesill::api::{Micros, Timestamp};
 use std::io;
@@ -47,9 +48,15 @@
         }
         self.deliver_effects(now);
         let accepts = may_accept && self.drivers_may_accept_clients();
+        if accepts && !self.accepts_clients {
+            self.poll_executions(now);
+        }
         let Some(handover) = &mut self.handover else {
             return;
         };
+        if is_only_process {
+            handover.executions.remove_ended();
+        }
         if accepts && !self.accepts_clients {
             let learned = handover.take_learned(now);
             tracing::info!(kind = "upgrade", learned = learned.len(), "accepts clients");
@@ -70,6 +77,49 @@
             .all(|running| running.driver.may_accept_clients())
     }
 
+    /// Announces to the other processes of this front that a request which must not be executed twice is about to be sent. Returns
+    /// `false` if another process has announced it.
+    pub(super) fn announce_execution(&mut self, now: Timestamp, key: Option<ExecutionKey>) -> bool {
+        let Some((key, handover)) = key.zip(self.handover.as_mut()) else {
+            return true;
+        };
+        handover
+            .executions
+            .announce(key, self.pipeline.executions.known());
+        // A process that shuts down may have a successor that it has not seen yet.
+        let others = handover.executions.read_others(self.shutdown.is_some());
+        let is_duplicate = others
+            .iter()
+            .any(|other| other.key == key && !other.withdrawn);
+        self.apply_announcements(now, &others, Some(key));
+        !is_duplicate
+    }
+
+    /// Reads what other processes of this front have announced.
+    pub(super) fn poll_executions(&mut self, now: Timestamp) {
+        if let Some(handover) = &mut self.handover {
+            let others = handover.executions.read_others(true);
+            self.apply_announcements(now, &others, None);
+        }
+    }
+
+    /// Applies announcements of other processes. A request that this process has announced itself stays known.
+    fn apply_announcements(
+        &mut self,
+        now: Timestamp,
+        others: &[Announcement],
+        own: Option<ExecutionKey>,
+    ) {
+        let executions = &mut self.pipeline.executions;
+        for announced in others.iter().filter(|announced| Some(announced.key) != own) {
+            if announced.withdrawn {
+                executions.forget(announced.key);
+            } else {
+                executions.record(now, announced.key);
+            }
+        }
+    }
+
     /// Sets whether the limits are shared with another process of this front, and applies the resulting limits.
     pub(super) fn share_limits(&mut self, now: Timestamp, shared: bool) {
         if std::mem::replace(&mut self.config.limits_shared, shared) != shared {
--- a/front/src/server/handover.rs
+++ b/front/src/server/handover.rs
@@ -7,6 +7,11 @@
 //! process has ended.
 //!
 //! The files are small and on an in-memory file system, so the event loop reads and writes them directly.
+mod executions;
+
+pub use executions::Announcement;
+use executions::{Executions, FILE_PREFIX};
+
 use crate::protocol::handover::{
     cordon_file_name, cordoned_endpoint, decode_learned, encode_learned, MAX_LEARNED_BYTES,
 };
@@ -31,6 +36,11 @@
 /// Names of the files other than cordons.
 const KNOWN_FILES: [&str; 3] = ["accept", "alive", "learned"];
 
+/// Whether a file of this name, which is not a cordon, belongs to the handover.
+fn is_known_file(name: &str) -> bool {
+    KNOWN_FILES.contains(&name) || name.ends_with(".tmp") || name.starts_with(FILE_PREFIX)
+}
+
 /// Acquires a lock unless another process holds it. Returns whether this process holds it.
 fn try_acquire(lock: &mut FileLock) -> bool {
     lock.try_acquire().unwrap_or_else(|error| {
@@ -47,6 +57,8 @@
     directory: PathBuf,
     accept: FileLock,
     alive: FileLock,
+    /// Requests that must not be executed twice.
+    pub executions: Executions,
     /// The largest number of files with unknown names seen so far.
     unknown_files: usize,
     /// Whether the failure to read the directory has been logged.
@@ -64,6 +76,7 @@
         let accept = FileLock::open(&directory.join("accept"))?;
         let alive = FileLock::open(&directory.join("alive"))?;
         Ok(Handover {
+            executions: Executions::new(&directory),
             directory,
             accept,
             alive,
@@ -180,7 +193,7 @@
             let name = name.to_string_lossy();
             match cordoned_endpoint(&name) {
                 Some(endpoint) => drop(cordons.insert(endpoint)),
-                None if KNOWN_FILES.contains(&&*name) || name.ends_with(".tmp") => {}
+                None if is_known_file(&name) => {}
                 None => {
                     unknown += 1;
                     if unknown > self.unknown_files && unknown <= MAX_UNKNOWN_FILES_LOGGED {
--- a/front/src/server/upstream/redial/tests.rs
+++ b/front/src/server/upstream/redial/tests.rs
@@ -24,6 +24,7 @@
         cached_tag: None,
         idempotency_key: None,
         write: false,
+        execution: None,
         body: b"".as_slice().into(),
     }
 }
--- a/front/src/server/upstream/tests.rs
+++ b/front/src/server/upstream/tests.rs
@@ -15,6 +15,7 @@
         cached_tag: None,
         idempotency_key: None,
         write: false,
+        execution: None,
         body: b"".as_slice().into(),
     }
 }
