Withdraw unwritten attempts when the address of their endpoint changes

A request that waited for a connection to a node was written to another process, which listened at the node's old address.

Cause: update_endpoint retires connections to an earlier process, so that they get no further attempts; attempts that already waited on them, unwritten, stayed.

Change: they are withdrawn as not sent, in the turn of the event, and are sent again.

--- a/front/src/server/event_loop/endpoints.rs
+++ b/front/src/server/event_loop/endpoints.rs
@@ -126,8 +126,10 @@
         } else {
             Vec::new()
         };
+        let mut ends = Vec::new();
         for (entry, record) in entries.iter().zip(&list) {
-            self.upstream.update_endpoint(entry, record.address);
+            self.upstream
+                .update_endpoint(entry, record.address, &mut ends);
         }
         let (ready, not_ready): (Vec<_>, Vec<_>) = entries
             .iter()
@@ -139,7 +141,6 @@
             ListKind::Delta
         };
         self.pipeline.apply_endpoints(now, kind, entries, source);
-        let mut ends = Vec::new();
         let not_ready = not_ready.into_iter().map(|(_, endpoint)| endpoint);
         let mut excluded = ExcludedAttempts::default();
         for endpoint in not_ready.chain(removed) {
--- a/front/src/server/upstream.rs
+++ b/front/src/server/upstream.rs
@@ -136,15 +136,20 @@
         }
     }
 
-    /// Adds, updates or removes a listed endpoint. Connections to an earlier process of the endpoint get no further attempts.
-    pub fn update_endpoint(&mut self, entry: &EndpointEntry, address: SocketAddr) {
+    /// Adds, updates or removes a listed endpoint. Connections to an earlier process of the endpoint get no further attempts, and those
+    /// of which nothing is written are withdrawn: another endpoint may listen on its address by now.
+    pub fn update_endpoint(&mut self, entry: &EndpointEntry, address: SocketAddr, ends: &mut Ends) {
         let now = Some((address, entry.started));
         let before = if entry.state == EndpointState::Removed {
             self.listed.remove(&entry.endpoint)
         } else {
             self.listed.insert(entry.endpoint, (address, entry.started))
         };
-        if entry.state == EndpointState::Removed || before.is_some() && before != now {
+        let is_replaced = before.is_some() && before != now;
+        if is_replaced {
+            self.withdraw_from(entry.endpoint, ends);
+        }
+        if entry.state == EndpointState::Removed || is_replaced {
             for key in self.by_endpoint.get(&entry.endpoint).into_iter().flatten() {
                 self.connections
                     .get_mut(key)
--- a/front/src/server/upstream/tests.rs
+++ b/front/src/server/upstream/tests.rs
@@ -35,7 +35,7 @@
         started: 0,
         state,
     };
-    upstream.update_endpoint(&entry, listener.local_addr().unwrap());
+    upstream.update_endpoint(&entry, listener.local_addr().unwrap(), &mut Vec::new());
     upstream
 }
 
@@ -333,7 +333,7 @@
             started: 0,
             state,
         };
-        upstream.update_endpoint(&entry, listener.local_addr().unwrap());
+        upstream.update_endpoint(&entry, listener.local_addr().unwrap(), &mut Vec::new());
     }
     let mut rng = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1;
     let mut random = |n: u64| {
@@ -487,7 +487,7 @@
             started: 0,
             state,
         };
-        upstream.update_endpoint(&entry, listener.local_addr().unwrap());
+        upstream.update_endpoint(&entry, listener.local_addr().unwrap(), &mut Vec::new());
     }
     // The second and the third connection become idle, the third one first; the first keeps an open attempt.
     for n in 1..=3 {
--- a/front/src/server/upstream/withdrawal.rs
+++ b/front/src/server/upstream/withdrawal.rs
@@ -117,6 +117,20 @@
         }
     }
 
+    /// Withdraws unwritten attempts on connections to an endpoint, which may be made to a process that is not the endpoint any more.
+    /// The results count against no endpoint.
+    pub(super) fn withdraw_from(&mut self, endpoint: EndpointId, ends: &mut Ends) {
+        let connections = self.connections.values();
+        let to_endpoint = connections.filter(|connection| connection.endpoint == endpoint);
+        let attempts = to_endpoint.flat_map(|connection| connection.open_attempts.values());
+        let unwritten = attempts.filter(|sent| !sent.written);
+        let mut unwritten: Vec<_> = unwritten.map(|sent| sent.attempt).collect();
+        unwritten.sort_unstable();
+        for attempt in unwritten {
+            self.withdraw_unwritten(attempt, AttemptEnd::NoConnection, ends);
+        }
+    }
+
     /// Withdraws an attempt with this result if none of it is written.
     pub(super) fn withdraw_unwritten(
         &mut self,
