--- a/front/tests/memory_limit.rs
+++ b/front/tests/memory_limit.rs
@@ -47,6 +47,17 @@
     memory_mb: u64,
     attack: impl FnOnce(SocketAddr, &AtomicBool) + Send + 'static,
 ) {
+    let not_served = answers_within_limit(setup, memory_mb, attack);
+    assert!(not_served.is_empty(), "{not_served:?}");
+}
+
+/// Checks that the front stays within its memory limit during an attack, and answers each request of a usual client. Returns the
+/// answers that serve nothing.
+fn answers_within_limit(
+    setup: &TestFront,
+    memory_mb: u64,
+    attack: impl FnOnce(SocketAddr, &AtomicBool) + Send + 'static,
+) -> Vec<String> {
     let mut usual = setup.client();
     let mut stream = 0;
     let mut request = || {
@@ -71,7 +82,7 @@
     attack.join().unwrap();
     let limit_kb = memory_mb * 1_024;
     assert!(most_kb < limit_kb, "{most_kb} KB of {limit_kb} KB");
-    assert!(not_served.is_empty(), "{not_served:?}");
+    not_served
 }
 
 /// Opens another connection while there are fewer than [`BAD_CLIENTS`].
@@ -251,3 +262,63 @@
     let setup = start_front(memory_mb);
     assert_within_limit(&setup, memory_mb, send_full_bodies);
 }
+
+/// Encodes a request whose head has as many fields as possible, each with a name of two bytes and no value.
+fn request_with_many_fields(stream: u32, transaction: u64) -> Vec<u8> {
+    let transaction = format!("{transaction:016x}");
+    let names: Vec<String> = (0..251).map(|n| format!("{n:02x}")).collect();
+    let mut fields = vec![
+        ("verb", "page-bits"),
+        ("txn", &*transaction),
+        ("limit", "3000"),
+        ("item", &*transaction),
+    ];
+    fields.extend(names.iter().map(|name| (name.as_str(), "")));
+    request_frame(stream, &fields, b"")
+}
+
+/// Sends on many connections in turn until `stop` is set: one third writes a large request a few bytes at a time, one third stops half
+/// way through it, one third sends heads of very many short fields at full speed and reads nothing.
+fn send_mixed(address: SocketAddr, stop: &AtomicBool) {
+    let mut clients = Vec::new();
+    let mut number = 0;
+    while !stop.load(Ordering::SeqCst) {
+        number += 1;
+        let added = connect_another(address, &clients);
+        clients.extend(added.map(|socket| (socket, number, 0, 1)));
+        clients.retain_mut(|(socket, number, sent, stream)| {
+            let frame = match *number % 3 {
+                2 => request_with_many_fields(*stream, *number << 32 | u64::from(*stream)),
+                _ => write_request(1, *number),
+            };
+            let end = match *number % 3 {
+                0 => frame.len().min(*sent + 7),
+                1 => frame.len() / 2,
+                _ => frame.len(),
+            };
+            match socket.write(&frame[*sent..end]) {
+                Ok(count) => *sent += count,
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                Err(_) => return false,
+            }
+            if *sent == frame.len() {
+                (*sent, *stream) = (0, *stream + 1);
+            }
+            true
+        });
+    }
+}
+
+// Guards against a front that is killed for its memory by clients of several kinds together. Requests of a usual client may be rejected
+// with a retry-after meanwhile, since the others send valid requests too.
+#[test]
+fn clients_of_several_kinds_together_do_not_exceed_the_memory_limit() {
+    for memory_mb in [16, 48, 96] {
+        let setup = start_front(memory_mb);
+        receive_without_answers(&setup.origin);
+        let not_served = answers_within_limit(&setup, memory_mb, send_mixed);
+        println!("{memory_mb} MB: {} not served", not_served.len());
+        let rejected = |answer: &String| answer.contains("\\x02\\x01\\x05later");
+        assert!(not_served.iter().all(rejected), "{not_served:?}");
+    }
+}
