--- a/front/src/server/drivers/purges/mod.rs
+++ b/front/src/server/drivers/purges/mod.rs
@@ -7,6 +7,7 @@
 mod following;
 mod journal_reader;
 mod journal_writer;
+mod mirroring;
 mod sharing;
 mod start;
 mod writer_link;
--- a/front/src/server/drivers/purges/sharing/tests.rs
+++ b/front/src/server/drivers/purges/sharing/tests.rs
@@ -1,11 +1,11 @@
 //! Two processes with one journal, as two drivers.
 use super::*;
 use crate::protocol::follow::{decode_hello, frame, Frame, HELLO_BYTES};
-use crate::server::drivers::{AdminEffect, Driver, PollerKeys};
+use crate::server::drivers::{AdminEffect, Driver, Effect, PollerKeys, PurgeEffect};
 use crate::transport::Reactor;
 use cranesill_daemon::Purges as Settings;
-use cranesill_purges::journal;
-use cranesill_purges::{PurgeTarget, UnixMillis};
+use cranesill_purges::journal::{self, OpenedJournal};
+use cranesill_purges::{Purge, PurgeTarget, UnixMillis};
 use serde_json::{json, Value};
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
