--- a/front/tests/common/mod.rs
+++ b/front/tests/common/mod.rs
@@ -15,6 +15,26 @@
 /// Timeout of every wait in a test; protects against hanging tests.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Interval at which a condition is checked.
+const CHECK_INTERVAL: Duration = Duration::from_millis(2);
+
+/// Waits until a condition holds; fails after the timeout.
+pub fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
+    let deadline = std::time::Instant::now() + WAIT_TIMEOUT;
+    while !condition() {
+        assert!(std::time::Instant::now() < deadline, "not {what} in time");
+        std::thread::sleep(CHECK_INTERVAL);
+    }
+}
+
+/// Anonymous memory of a process in KB.
+pub fn anonymous_memory_kb(process_id: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{process_id}/status")).unwrap();
+    let line = status.lines().find(|line| line.starts_with("RssAnon"));
+    let value = line.and_then(|line| line.split_whitespace().nth(1));
+    value.unwrap().parse().unwrap()
+}
+
 pub const CACHE_IDS: [u32; 2] = [0x11, 0x12];
 
 /// Lengths of a frame that the protocol allows.
--- a/front/tests/duplicate_requests.rs
+++ b/front/tests/duplicate_requests.rs
@@ -97,14 +97,6 @@
     }
 }
 
-fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
-    let deadline = Instant::now() + WAIT_TIMEOUT;
-    while !condition() {
-        assert!(Instant::now() < deadline, "not {what} in time");
-        std::thread::sleep(Duration::from_millis(2));
-    }
-}
-
 fn identifier(number: u64) -> String {
     format!("{:016x}", 0xb00c_0000 + number)
 }
--- a/front/tests/flooding_clients.rs
+++ b/front/tests/flooding_clients.rs
@@ -26,14 +26,6 @@
 /// Encodes the request with a number.
 type Encode = fn(u64) -> Vec<u8>;
 
-/// Anonymous memory of a process in KB.
-fn anonymous_memory_kb(process_id: u32) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{process_id}/status")).unwrap();
-    let line = status.lines().find(|line| line.starts_with("RssAnon"));
-    let value = line.and_then(|line| line.split_whitespace().nth(1));
-    value.unwrap().parse().unwrap()
-}
-
 /// Writes what `encode` returns for 1, 2, ... on one connection at a time, and reads everything. Reconnects when closed. Returns the
 /// number of requests that were written.
 fn flood(address: SocketAddr, stop: &AtomicBool, encode: Encode) -> u64 {
--- a/front/tests/memory_limit.rs
+++ b/front/tests/memory_limit.rs
@@ -22,14 +22,6 @@
 const ATTACK_DURATION: Duration = Duration::from_secs(3);
 const ANSWER_DELAY: Duration = Duration::from_millis(300);
 
-/// Anonymous memory of a process in KB.
-fn anonymous_memory_kb(process_id: u32) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{process_id}/status")).unwrap();
-    let line = status.lines().find(|line| line.starts_with("RssAnon"));
-    let value = line.and_then(|line| line.split_whitespace().nth(1));
-    value.unwrap().parse().unwrap()
-}
-
 /// Starts a front whose caches serve hits.
 fn start_front(memory_mb: u64) -> TestFront {
     let setup = TestFront::new(|config| {
--- a/front/tests/upgrades.rs
+++ b/front/tests/upgrades.rs
@@ -171,14 +171,6 @@
     Client(socket)
 }
 
-fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
-    let deadline = Instant::now() + STEP_TIMEOUT;
-    while !condition() {
-        assert!(Instant::now() < deadline, "not {what} in time");
-        std::thread::sleep(Duration::from_millis(5));
-    }
-}
-
 impl Running {
     fn is_healthy(&self) -> bool {
         operator_command(self.operators, "health").starts_with("+OK")
