Report a lock or a read that fails once, and let followers accept at once

A lock that fails was logged again after each successful read, twenty times a second; a lock of the certificate directory that fails was logged at debug level only.

--- a/front/src/server/drivers/certs/sharing.rs
+++ b/front/src/server/drivers/certs/sharing.rs
@@ -36,6 +36,9 @@
     /// Whether a read of the directory is in progress.
     is_reading: bool,
     next_poll_at: Timestamp,
+    /// Whether the last attempt to lock the directory, or to read it, failed. Only the first failure in a row is logged.
+    lock_is_failing: bool,
+    read_is_failing: bool,
     /// Number of writes whose results have not arrived.
     pub(super) writes_in_progress: usize,
 }
@@ -58,6 +61,8 @@
             },
             is_reading: false,
             next_poll_at: 0,
+            lock_is_failing: false,
+            read_is_failing: false,
             writes_in_progress: 0,
         }
     }
@@ -77,6 +82,23 @@
         Arc::clone(&self.folder)
     }
 
+    /// Acquires the lock unless another process holds it. Returns whether this process holds it.
+    fn try_acquire(&mut self) -> bool {
+        match self.ownership.try_acquire() {
+            Ok(owned) => {
+                self.lock_is_failing = false;
+                owned
+            }
+            Err(error) => {
+                if !std::mem::replace(&mut self.lock_is_failing, true) {
+                    let path = self.ownership.lock_path().display();
+                    tracing::error!(kind = "not-locked", %error, %path, "certificates: cannot lock the directory; nothing is ordered and commands are rejected; retrying");
+                }
+                false
+            }
+        }
+    }
+
     /// Describes why a command is rejected, for operators.
     fn rejection(&self) -> String {
         match self.phase {
@@ -163,14 +185,8 @@
         if directory.next_due().is_none_or(|at| turn.now < at) || directory.is_reading {
             return;
         }
-        if directory.phase == Phase::Candidate {
-            match directory.ownership.try_acquire() {
-                Ok(true) => directory.phase = Phase::Acquiring,
-                Ok(false) => {}
-                Err(error) => {
-                    tracing::debug!(%error, path = %directory.ownership.lock_path().display(), "certificates: cannot lock the directory; retrying");
-                }
-            }
+        if directory.phase == Phase::Candidate && directory.try_acquire() {
+            directory.phase = Phase::Acquiring;
         }
         let is_candidate = matches!(directory.phase, Phase::Candidate | Phase::Acquiring);
         let interval = if is_candidate {
@@ -211,10 +227,17 @@
         ) {
             return;
         }
+        let failed_before = std::mem::replace(&mut directory.read_is_failing, result.is_err());
         let loaded = match result {
             Ok(loaded) => loaded,
             Err(error) => {
-                tracing::warn!(error, "certificates: cannot read the directory; retrying");
+                if !failed_before {
+                    tracing::error!(
+                        kind = "not-read",
+                        error,
+                        "certificates: cannot read the directory; retrying"
+                    );
+                }
                 return;
             }
         };
--- a/front/src/server/drivers/purges/sharing.rs
+++ b/front/src/server/drivers/purges/sharing.rs
@@ -58,8 +58,9 @@
     reads_completed: u64,
     next_poll_at: Timestamp,
     catch_up: Option<CatchUp>,
-    /// Whether the last attempt to lock or to read the file failed. Only the first failure in a row is logged.
-    is_failing: bool,
+    /// Whether the last attempt to lock the file, or to read it, failed. Only the first failure in a row is logged.
+    lock_is_failing: bool,
+    read_is_failing: bool,
 }
 
 /// The part of this process in writing the log, and its view of the journal.
@@ -104,7 +105,8 @@
             reads_completed: 0,
             next_poll_at: 0,
             catch_up: None,
-            is_failing: false,
+            lock_is_failing: false,
+            read_is_failing: false,
         };
         Sharing {
             phase: match (owned, accepts_clients) {
@@ -169,11 +171,29 @@
         self.reads_begun > self.reads_completed
     }
 
-    /// Logs a failure to lock or read the journal, unless the attempt before failed as well.
-    fn report_failure(&mut self, path: Option<&Path>, error: &io::Error) {
-        if !std::mem::replace(&mut self.is_failing, true) {
+    /// Acquires the lock unless another process holds it. Returns whether this process holds it.
+    fn try_acquire(&mut self) -> bool {
+        match self.ownership.try_acquire() {
+            Ok(owned) => {
+                self.lock_is_failing = false;
+                owned
+            }
+            Err(error) => {
+                if !std::mem::replace(&mut self.lock_is_failing, true) {
+                    let path = self.ownership.lock_path().display();
+                    tracing::error!(kind = "not-locked", %error, %path, "purges: cannot lock the journal; purges are rejected; retrying");
+                }
+                false
+            }
+        }
+    }
+
+    /// Records whether a read failed.
+    fn report_read(&mut self, path: Option<&Path>, failure: Option<&io::Error>) {
+        let failed_before = std::mem::replace(&mut self.read_is_failing, failure.is_some());
+        if let Some(error) = failure.filter(|_| !failed_before) {
             let path = path.map(|path| path.display().to_string());
-            tracing::error!(kind = "not-read", %error, path, "purges: cannot lock or read the journal, which another process may write; all copies count as purged; retrying");
+            tracing::error!(kind = "not-read", %error, path, "purges: cannot read the journal that another process may write; all copies count as purged; retrying");
         }
     }
 }
@@ -210,7 +230,13 @@
             return;
         }
         let read = self.acquire_or_read(turn);
-        if let Some(file) = &mut self.sharing.file {
+        // A follower has what its writer sent, and reads the journal only to take it over.
+        if let Some(file) = self
+            .sharing
+            .file
+            .as_mut()
+            .filter(|file| read > file.reads_completed)
+        {
             file.catch_up = Some(CatchUp {
                 read,
                 deadline: turn.now + MAX_CATCH_UP_TIME,
@@ -277,20 +303,15 @@
         }
     }
 
-    /// Acquires the journal if this process is a candidate, and starts a read of it. Returns the number of the read.
+    /// Acquires the journal if this process is a candidate, and starts a read of it. Returns the number of the last read.
     fn acquire_or_read(&mut self, turn: &mut Turn<'_>) -> u64 {
         let mirrors_file = self.writes_own_log();
-        let path = self.settings.file.as_deref();
         let Some(file) = &mut self.sharing.file else {
             return 0;
         };
         let read = file.reads_begun + 1;
-        if self.sharing.phase == Phase::Candidate {
-            match file.ownership.try_acquire() {
-                Ok(true) => self.sharing.phase = Phase::Acquiring { read },
-                Ok(false) => {}
-                Err(error) => file.report_failure(path, &error),
-            }
+        if self.sharing.phase == Phase::Candidate && file.try_acquire() {
+            self.sharing.phase = Phase::Acquiring { read };
         }
         if let Phase::Acquiring { .. } = self.sharing.phase {
             self.sharing.phase = Phase::Acquiring { read };
@@ -332,11 +353,11 @@
             Ok(found) => found,
             Err(error) => {
                 file.is_mirrored = false;
-                file.report_failure(path.as_deref(), &error);
+                file.report_read(path.as_deref(), Some(&error));
                 return self.count_everything_as_purged(turn);
             }
         };
-        file.is_failing = false;
+        file.report_read(path.as_deref(), None);
         let acquires =
             matches!(self.sharing.phase, Phase::Acquiring { read: awaited } if read >= awaited);
         let state = self.apply_change(turn, found.change);
--- a/front/src/server/drivers/purges/sharing/tests.rs
+++ b/front/src/server/drivers/purges/sharing/tests.rs
@@ -349,3 +349,19 @@
     next.send(ProcessEffect::PredecessorEnded);
     assert!(next.purge("late").is_ok());
 }
+
+#[test]
+fn a_follower_does_not_wait_for_a_journal_that_it_does_not_take_over() {
+    let folder = tempfile::tempdir().unwrap();
+    let follow = json!({"follow": {"address": "127.0.0.1:9", "lease_ms": 1_000}});
+    let old = TestProcess::start(folder.path(), true, &follow);
+    let mut next = TestProcess::start(folder.path(), false, &follow);
+    next.send(ProcessEffect::TakesOver);
+    assert!(next.purges.may_accept_clients());
+    for _ in 0..10 {
+        next.run();
+    }
+    assert!(next.all_purged.is_empty() && !next.is_writer());
+    drop(old);
+    next.until("the writer", TestProcess::is_writer);
+}
