--- a/src/policy/recent_keys.rs
+++ b/src/policy/recent_keys.rs
@@ -2,7 +2,8 @@
 use crate::api::{Micros, Timestamp};
 use std::collections::BTreeSet;
 
-/// Maximum number of keys in a period. With more of them it ends early, so that clients cannot fill the memory with ever new keys.
+/// Maximum number of keys in a period. With more of them it ends early, so that clients cannot fill the
+/// memory with ever new keys.
 const MAX_KEYS_PER_PERIOD: usize = 32_768;
 
 /// Keys requested in the current and the previous period.
@@ -27,8 +28,8 @@
 }
 
 impl<K: Ord> RecentKeys<K> {
-    /// Adds a key. Returns whether it was requested in the last one to two periods, or may have been. Periods are shorter while there
-    /// are more than [`MAX_KEYS_PER_PERIOD`] keys.
+    /// Adds a key. Returns whether it was requested in the last one to two periods, or may have been.
+    /// Periods are shorter while there are more than [`MAX_KEYS_PER_PERIOD`] keys.
     pub fn insert(&mut self, key: K, now: Timestamp, period: Micros) -> bool {
         let history_too_short = now < *self.first_used_at.get_or_insert(now) + period;
         let is_full = self.current.len() >= MAX_KEYS_PER_PERIOD;
